Add the workspace, the messages between processes and the TCP transport

Cause: an empty repository. Ruled out: a generated schema (the records are the schema, MessagePack maps tolerate unknown properties during a rolling restart). Change: Maven workspace of eight modules, ids and resources, message records, length-prefixed frames with request, reply, parts and cancellation.

--- /dev/null
+++ b/core/src/main/java/org/cicadahead/model/OrganisationId.java
@@ -0,0 +1,47 @@
+package org.cicadahead.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.regex.Pattern;
+
+/**
+ * Identifies an organisation: a customer of an operator, with a rate and a burst.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param value the text, which matches {@code [A-Za-z0-9._-]{1,64}}
+ */
+public record OrganisationId(@JsonValue String value) implements Comparable<OrganisationId> {
+    private static final Pattern PATTERN = Pattern.compile("[A-Za-z0-9._-]{1,64}");
+
+    /**
+     * Checks the text.
+     *
+     * @throws IllegalArgumentException if the text is null or does not match the pattern
+     */
+    public OrganisationId {
+        Names.check(value, PATTERN, "organisation id");
+    }
+
+    /**
+     * Returns the organisation id with a text.
+     *
+     * @param value the text
+     * @return the organisation id
+     * @throws IllegalArgumentException if the text is null or does not match the pattern
+     */
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public static OrganisationId of(String value) {
+        return new OrganisationId(value);
+    }
+
+    @Override
+    public int compareTo(OrganisationId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cicadahead/model/ProgramKey.java
@@ -0,0 +1,45 @@
+package org.cicadahead.model;
+
+import java.util.Objects;
+
+/**
+ * Identifies a program over all organisations. Immutable.
+ *
+ * @param organisation the organisation
+ * @param program the program id within it
+ */
+public record ProgramKey(OrganisationId organisation, ProgramId program) implements Comparable<ProgramKey> {
+
+    /**
+     * Checks the values.
+     *
+     * @throws NullPointerException if a value is null
+     */
+    public ProgramKey {
+        Objects.requireNonNull(organisation, "The organisation must not be null");
+        Objects.requireNonNull(program, "The program must not be null");
+    }
+
+    /**
+     * Returns the key of a program.
+     *
+     * @param organisation the organisation
+     * @param program the program id within it
+     * @return the key
+     * @throws NullPointerException if a value is null
+     */
+    public static ProgramKey of(OrganisationId organisation, ProgramId program) {
+        return new ProgramKey(organisation, program);
+    }
+
+    @Override
+    public int compareTo(ProgramKey other) {
+        int byOrganisation = organisation.compareTo(other.organisation);
+        return byOrganisation != 0 ? byOrganisation : program.compareTo(other.program);
+    }
+
+    @Override
+    public String toString() {
+        return organisation + "/" + program;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cicadahead/model/Role.java
@@ -0,0 +1,37 @@
+package org.cicadahead.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.Locale;
+
+/** What a daemon does. */
+public enum Role {
+    /** Holds a replica of the durable state. */
+    CONTROL,
+    /** Serves callers. */
+    ENTRY,
+    /** Runs requests on one endpoint. */
+    ENDPOINT;
+
+    /**
+     * Returns the role with a code.
+     *
+     * @param code the name in any case
+     * @return the role
+     * @throws IllegalArgumentException if no role has the code
+     */
+    @JsonCreator
+    public static Role of(String code) {
+        return valueOf(code.toUpperCase(Locale.ROOT));
+    }
+
+    /**
+     * Returns the name in lower case, as settings write it.
+     *
+     * @return the code
+     */
+    @JsonValue
+    public String code() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cicadahead/model/package-info.java
@@ -0,0 +1,2 @@
+/** Ids, configuration resources and refusal reasons shared by all processes. */
+package org.cicadahead.model;
--- /dev/null
+++ b/core/src/main/java/org/cicadahead/protocol/EndProgram.java
@@ -0,0 +1,11 @@
+package org.cicadahead.protocol;
+
+import org.cicadahead.model.ProgramKey;
+
+/**
+ * Ends a program and its sub-agents. Answered by {@link Done}.
+ *
+ * @param program the program
+ * @param cause why, for operators
+ */
+public record EndProgram(ProgramKey program, String cause) implements Command {}
--- /dev/null
+++ b/core/src/main/java/org/cicadahead/protocol/GrantRequest.java
@@ -0,0 +1,19 @@
+package org.cicadahead.protocol;
+
+import java.util.List;
+import org.cicadahead.model.DaemonId;
+
+/**
+ * Asks the leader for permission to admit requests. Answered by {@link GrantReply}.
+ *
+ * @param entry the entry
+ * @param generation start time of the entry
+ * @param lines one line for each organisation
+ */
+public record GrantRequest(DaemonId entry, long generation, List<GrantLine> lines) implements Message {
+
+    /** Copies the collections; an absent one is empty. */
+    public GrantRequest {
+        lines = lines == null ? List.of() : List.copyOf(lines);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cicadahead/protocol/Pong.java
@@ -0,0 +1,11 @@
+package org.cicadahead.protocol;
+
+import org.cicadahead.model.EndpointState;
+
+/**
+ * Answers {@link Ping}.
+ *
+ * @param state whether the endpoint takes new work
+ * @param load its load
+ */
+public record Pong(EndpointState state, EndpointLoad load) implements Message {}
--- /dev/null
+++ b/core/src/main/java/org/cicadahead/protocol/Refused.java
@@ -0,0 +1,11 @@
+package org.cicadahead.protocol;
+
+import org.cicadahead.model.RefusalReason;
+
+/**
+ * Answers a request that cannot be served.
+ *
+ * @param reason the reason
+ * @param detail for people
+ */
+public record Refused(RefusalReason reason, String detail) implements Message {}
--- /dev/null
+++ b/core/src/main/java/org/cicadahead/protocol/StepsRenewed.java
@@ -0,0 +1,16 @@
+package org.cicadahead.protocol;
+
+import java.util.List;
+
+/**
+ * Answers {@link RenewSteps}.
+ *
+ * @param lost steps that the entry no longer owns
+ */
+public record StepsRenewed(List<StepRef> lost) implements Message {
+
+    /** Copies the collections; an absent one is empty. */
+    public StepsRenewed {
+        lost = lost == null ? List.of() : List.copyOf(lost);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cicadahead/wire/Codec.java
@@ -0,0 +1,75 @@
+package org.cicadahead.wire;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
+
+/**
+ * Encodes records as MessagePack and as JSON. Safe for use by several threads.
+ *
+ * <p>MessagePack ignores unknown properties, so that daemons of different versions understand each other during a
+ * rolling restart. JSON for operators uses snake case and refuses unknown properties.
+ */
+public final class Codec {
+    private static final JsonInclude.Value NON_NULL =
+            JsonInclude.Value.construct(JsonInclude.Include.NON_NULL, JsonInclude.Include.NON_NULL);
+    private static final ObjectMapper PACK = MessagePackMapper.builder()
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .defaultPropertyInclusion(NON_NULL)
+            .build();
+    private static final ObjectMapper JSON = JsonMapper.builder()
+            .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+            .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .defaultPropertyInclusion(NON_NULL)
+            .build();
+
+    private Codec() {}
+
+    /**
+     * Returns the mapper for JSON towards operators and callers.
+     *
+     * @return the mapper; it must not be reconfigured
+     */
+    public static ObjectMapper json() {
+        return JSON;
+    }
+
+    /**
+     * Encodes a value as MessagePack.
+     *
+     * @param value the value
+     * @return the bytes
+     * @throws WireException if the value cannot be encoded
+     */
+    public static byte[] pack(Object value) throws WireException {
+        try {
+            return PACK.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new WireException(WireException.Kind.MALFORMED, "cannot encode " + value.getClass(), e);
+        }
+    }
+
+    /**
+     * Decodes a value from MessagePack.
+     *
+     * @param <T> the type of the value
+     * @param bytes the bytes
+     * @param type the class of the value
+     * @return the value
+     * @throws WireException if the bytes are not such a value
+     */
+    public static <T> T unpack(byte[] bytes, Class<T> type) throws WireException {
+        try {
+            return PACK.readValue(bytes, type);
+        } catch (IOException | IllegalArgumentException e) {
+            throw new WireException(WireException.Kind.MALFORMED, "cannot decode " + type.getSimpleName(), e);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cicadahead/wire/Timers.java
@@ -0,0 +1,24 @@
+package org.cicadahead.wire;
+
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+
+/** The timer thread of the transport. Its tasks are short and never block. */
+final class Timers {
+    private static final ScheduledThreadPoolExecutor SHARED = create();
+
+    private Timers() {}
+
+    static ScheduledThreadPoolExecutor shared() {
+        return SHARED;
+    }
+
+    private static ScheduledThreadPoolExecutor create() {
+        ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "wire-timer");
+            thread.setDaemon(true);
+            return thread;
+        });
+        timer.setRemoveOnCancelPolicy(true);
+        return timer;
+    }
+}
