Add the daemon binary with settings, logging, health and shutdown

Cause: the roles need a process around them. Settings are read from TOML into typed records; a field that is unknown, ill-typed or out of range is refused with file, line and what is expected. The TOML reader keeps no positions of values, so that the line is looked up in the text. The facades are not connected yet.

--- /dev/null
+++ b/daemon/src/main/java/org/cicadahead/daemon/ControlSettings.java
@@ -0,0 +1,89 @@
+package org.cicadahead.daemon;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.cicadahead.control.ControlConfig;
+import org.cicadahead.protocol.DaemonInfo;
+
+/**
+ * The section {@code [control]}. Immutable.
+ *
+ * @param listen host and port for other daemons
+ * @param address host and port at which other daemons reach this replica; {@code listen} by default
+ * @param dataFolder the folder of all durable files
+ * @param adminListen host and port of the admin API
+ * @param adminAddress host and port at which operators reach this replica; {@code admin_listen} by default
+ * @param adminTokenFile the file with the bearer token of operators
+ * @param initialMembers the addresses of the first replicas, this one included
+ * @param bootstrap whether an empty data folder may form a new group; false by default
+ */
+public record ControlSettings(
+        String listen,
+        String address,
+        String dataFolder,
+        String adminListen,
+        String adminAddress,
+        String adminTokenFile,
+        List<String> initialMembers,
+        Boolean bootstrap) {
+    private static final int MAX_MEMBERS = 7;
+
+    /** Checks the values and sets defaults for those that are absent. */
+    public ControlSettings {
+        Fields.address(listen, "listen");
+        address = Fields.orDefault(address, listen);
+        Fields.address(address, "address");
+        Fields.parsed(dataFolder, "data_folder", "a folder", Path::of);
+        Fields.address(adminListen, "admin_listen");
+        adminAddress = Fields.orDefault(adminAddress, adminListen);
+        Fields.address(adminAddress, "admin_address");
+        Fields.parsed(adminTokenFile, "admin_token_file", "a file", Path::of);
+        initialMembers = List.copyOf(Fields.orDefault(initialMembers, List.of()));
+        Fields.addresses(initialMembers, "initial_members");
+        bootstrap = Fields.orDefault(bootstrap, false);
+        if (bootstrap && !initialMembers.contains(address)) {
+            throw new FieldException("initial_members", "expected a list that contains " + address);
+        }
+        if (initialMembers.size() > MAX_MEMBERS) {
+            throw new FieldException("initial_members", "expected at most " + MAX_MEMBERS + " addresses");
+        }
+    }
+
+    /**
+     * Returns the configuration of the node.
+     *
+     * @param daemon who the daemon is
+     * @param workers the number of worker threads
+     * @return the configuration
+     * @throws SettingsException if the token file cannot be read or is empty
+     */
+    ControlConfig toConfig(DaemonInfo daemon, int workers) throws SettingsException {
+        InetSocketAddress peers = Fields.address(listen, "listen");
+        InetSocketAddress admin = Fields.address(adminListen, "admin_listen");
+        return new ControlConfig(
+                daemon,
+                Path.of(dataFolder),
+                peers,
+                admin,
+                adminAddress,
+                readToken(),
+                initialMembers,
+                bootstrap,
+                workers);
+    }
+
+    private String readToken() throws SettingsException {
+        try {
+            String token = Files.readString(Path.of(adminTokenFile)).strip();
+            if (token.isEmpty()) {
+                throw new SettingsException("control.admin_token_file: " + adminTokenFile + " is empty", null);
+            }
+            return token;
+        } catch (IOException e) {
+            throw new SettingsException("control.admin_token_file: cannot read " + adminTokenFile, e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cicadahead/daemon/SettingsReader.java
@@ -0,0 +1,130 @@
+package org.cicadahead.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.cfg.CoercionAction;
+import com.fasterxml.jackson.databind.cfg.CoercionInputShape;
+import com.fasterxml.jackson.databind.exc.MismatchedInputException;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import com.fasterxml.jackson.databind.exc.ValueInstantiationException;
+import com.fasterxml.jackson.databind.type.LogicalType;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.List;
+import java.util.Locale;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+/** Reads settings files. A field that is unknown, of another type or out of range is refused with its line. */
+public final class SettingsReader {
+    private static final TomlMapper MAPPER = TomlMapper.builder()
+            .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+            .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+            .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+            .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+            .withCoercionConfig(
+                    LogicalType.Textual,
+                    config -> config.setCoercion(CoercionInputShape.Integer, CoercionAction.Fail)
+                            .setCoercion(CoercionInputShape.Float, CoercionAction.Fail)
+                            .setCoercion(CoercionInputShape.Boolean, CoercionAction.Fail))
+            .withCoercionConfig(
+                    LogicalType.Enum, config -> config.setCoercion(CoercionInputShape.Integer, CoercionAction.Fail))
+            .build();
+
+    private SettingsReader() {}
+
+    /**
+     * Reads a settings file.
+     *
+     * @param file the file
+     * @return the settings
+     * @throws SettingsException if the file cannot be read or a field is refused
+     */
+    public static Settings read(Path file) throws SettingsException {
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (IOException e) {
+            throw new SettingsException(file + ": cannot be read", e);
+        }
+        return parse(file.toString(), text);
+    }
+
+    static Settings parse(String file, String text) throws SettingsException {
+        try {
+            return MAPPER.readValue(text, Settings.class);
+        } catch (JsonMappingException e) {
+            throw refusal(file, text, e);
+        } catch (JsonProcessingException e) {
+            int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
+            throw new SettingsException(file + ":" + line + ": " + e.getOriginalMessage(), e);
+        }
+    }
+
+    private static SettingsException refusal(String file, String text, JsonMappingException e) {
+        List<String> path = new ArrayList<>();
+        e.getPath().stream()
+                .map(JsonMappingException.Reference::getFieldName)
+                .filter(name -> name != null)
+                .forEach(path::add);
+        String expected;
+        FieldException cause = fieldException(e);
+        if (cause != null) {
+            path.addAll(Arrays.asList(cause.field().split("\\.")));
+            expected = cause.getMessage();
+        } else if (e instanceof UnrecognizedPropertyException unknown) {
+            expected = "unknown field; expected one of " + names(unknown.getKnownPropertyIds());
+        } else if (e instanceof MismatchedInputException mismatch) {
+            expected = "expected " + describe(mismatch.getTargetType());
+        } else if (e instanceof ValueInstantiationException value) {
+            expected = "expected " + describe(value.getType().getRawClass());
+        } else {
+            expected = e.getOriginalMessage();
+        }
+        int line = new TomlLines(text).lineOf(path);
+        return new SettingsException(file + ":" + line + ": " + String.join(".", path) + ": " + expected, e);
+    }
+
+    private static FieldException fieldException(Throwable failure) {
+        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+            if (cause instanceof FieldException field) {
+                return field;
+            }
+        }
+        return null;
+    }
+
+    private static String names(Collection<Object> ids) {
+        return ids.stream().map(String::valueOf).collect(Collectors.toCollection(TreeSet::new)).stream()
+                .collect(Collectors.joining(", "));
+    }
+
+    private static String describe(Class<?> type) {
+        if (type == null) {
+            return "another type";
+        }
+        if (type.isEnum()) {
+            return Arrays.stream(type.getEnumConstants())
+                    .map(value -> value.toString().toLowerCase(Locale.ROOT))
+                    .collect(Collectors.joining(" or "));
+        }
+        if (type == Boolean.class) {
+            return "true or false";
+        }
+        if (Number.class.isAssignableFrom(type)) {
+            return "a whole number";
+        }
+        if (type == String.class) {
+            return "a text in quotes";
+        }
+        return Collection.class.isAssignableFrom(type) ? "a list" : "a section";
+    }
+}
