Add the operator command line

Cause: operators need one tool for the admin API. It tries all replicas, follows 307, and keeps one Request-Id over all attempts of a command. Ruled out: the HTTP client's own redirects, as they drop the Authorization header; overwriting without a precondition, as two operators may edit at once.

--- /dev/null
+++ b/ctl/src/main/java/org/cicadahead/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The binary {@code cicadactl}, with which operators read and change the configuration of a fleet. */
+package org.cicadahead.ctl;
--- /dev/null
+++ b/ctl/src/test/java/org/cicadahead/ctl/MainTest.java
@@ -0,0 +1,196 @@
+package org.cicadahead.ctl;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class MainTest {
+    private static final String POOL = "{\"name\":\"planning\",\"target\":\"ENGINE\",\"policy\":\"fair\"}";
+
+    /** An answer of the admin API that a test prepares. */
+    private record Answer(int status, Map<String, String> headers, String body) {}
+
+    /** A request that the admin API received. */
+    private record Received(String line, String requestId, String ifMatch, String ifNoneMatch, String token) {}
+
+    private final Queue<Answer> answers = new ArrayDeque<>();
+    private final List<Received> received = new ArrayList<>();
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
+
+    @TempDir
+    private Path folder;
+
+    private HttpServer server;
+
+    @BeforeEach
+    void startServer() throws IOException {
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        server.createContext("/", this::handle);
+        server.start();
+        Files.writeString(folder.resolve("token"), "secret\n");
+        Files.writeString(folder.resolve("pool.toml"), "[[pools]]\nname = \"planning\"\n");
+    }
+
+    @AfterEach
+    void stopServer() {
+        server.stop(0);
+    }
+
+    /** Guards against an edit without a precondition, which would overwrite the edit of another operator. */
+    @Test
+    void applyCreatesWhatDoesNotExist() {
+        answer(404, Map.of(), "{}");
+        answer(201, Map.of("ETag", "\"7\""), POOL);
+
+        assertThat(run("apply", "-f", folder.resolve("pool.toml").toString())).isEqualTo(0);
+
+        assertThat(received.get(1).line).isEqualTo("PUT /admin/v1/pools/planning");
+        assertThat(received.get(1).ifNoneMatch).isEqualTo("*");
+        assertThat(received.get(1).token).isEqualTo("Bearer secret");
+        assertThat(out.toString()).contains("created");
+    }
+
+    /** Guards against edits that raise the revision without a change. */
+    @Test
+    void applyLeavesEqualResourceAlone() {
+        answer(200, Map.of("ETag", "\"3\""), POOL);
+
+        assertThat(run("apply", "-f", folder.resolve("pool.toml").toString())).isEqualTo(0);
+
+        assertThat(received).hasSize(1);
+        assertThat(out.toString()).contains("unchanged");
+    }
+
+    /** Guards against a conflict that a script takes for a success or for a plain refusal. */
+    @Test
+    void conflictHasItsOwnExitCode() {
+        answer(200, Map.of("ETag", "\"3\""), POOL.replace("fair", "latency"));
+        answer(409, Map.of("ETag", "\"4\""), "{\"detail\":\"based on another revision\"}");
+
+        assertThat(run("apply", "-f", folder.resolve("pool.toml").toString())).isEqualTo(3);
+
+        assertThat(received.get(1).ifMatch).isEqualTo("\"3\"");
+        assertThat(err.toString()).contains("current revision 4");
+    }
+
+    /** Guards against an edit that takes effect twice, as a retry after a 503 or a redirect has a new request id. */
+    @Test
+    void retriesKeepRequestId() {
+        answer(503, Map.of(), "");
+        answer(307, Map.of("Location", url() + "/admin/v1/keys"), "");
+        answer(201, Map.of(), "{\"key\":\"ck_x\"}");
+
+        assertThat(run("keys", "create", "acme", "-o", "json")).isEqualTo(0);
+
+        assertThat(received.stream().map(Received::requestId).distinct().toList())
+                .hasSize(1);
+        assertThat(out.toString()).contains("\"key\" : \"ck_x\"");
+    }
+
+    /** Guards against a command that gives up at the first replica that is down, or never gives up. */
+    @Test
+    void triesAllAddressesAndReportsUnreachable() {
+        answer(200, Map.of(), "{\"leader\":\"a\"}");
+
+        assertThat(runAt("127.0.0.1:1," + url(), "status")).isEqualTo(0);
+        assertThat(runAt("127.0.0.1:1", "status", "--timeout-millis", "200")).isEqualTo(4);
+    }
+
+    /** Guards against differences that are reported for sets in another order, or not at all. */
+    @Test
+    void diffComparesValues() throws IOException {
+        Path routes = folder.resolve("routes.json");
+        Files.writeString(
+                routes,
+                "{\"routes\":[{\"name\":\"r\",\"pool\":\"planning\",\"organisations\":[\"b\",\"a\"],"
+                        + "\"repeatable\":true,\"deadline_millis\":5000}]}");
+        String current = "{\"name\":\"r\",\"pool\":\"planning\",\"organisations\":[\"a\",\"b\"],\"repeatable\":true,"
+                + "\"deadline_millis\":%d}";
+        answer(200, Map.of("ETag", "\"3\""), current.formatted(5_000));
+        answer(200, Map.of("ETag", "\"3\""), current.formatted(6_000));
+
+        assertThat(run("diff", "-f", routes.toString())).isEqualTo(0);
+        assertThat(run("diff", "-f", routes.toString())).isEqualTo(1);
+
+        assertThat(out.toString()).contains("deadline_millis");
+        assertThat(out.toString()).doesNotContain("organisations");
+    }
+
+    /** Guards against documents or command lines with errors that reach control. */
+    @Test
+    void refusesWrongInput() throws IOException {
+        Path wrong = folder.resolve("wrong.json");
+        Files.writeString(wrong, "{\"pools\":[{\"name\":\"planning\",\"colour\":1}]}");
+
+        assertThat(run("apply", "-f", wrong.toString())).isEqualTo(2);
+        assertThat(run("get", "ovens")).isEqualTo(2);
+        assertThat(run("explain", "program-without-organisation")).isEqualTo(2);
+        assertThat(received).isEmpty();
+    }
+
+    /** Guards against a refusal that looks like a success. */
+    @Test
+    void refusalHasExitCodeOne() {
+        answer(404, Map.of(), "{\"title\":\"not found\"}");
+
+        assertThat(run("delete", "pools", "planning")).isEqualTo(1);
+        assertThat(err.toString()).contains("pool planning: not found");
+    }
+
+    private int run(String... args) {
+        return runAt(url(), args);
+    }
+
+    private int runAt(String admin, String... args) {
+        String[] options = {
+            "--admin", admin, "--token-file", folder.resolve("token").toString()
+        };
+        String[] all =
+                Stream.concat(Arrays.stream(args), Arrays.stream(options)).toArray(String[]::new);
+        return Main.run(new PrintWriter(out, true), new PrintWriter(err, true), all);
+    }
+
+    private String url() {
+        return "http://127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    private void answer(int status, Map<String, String> headers, String body) {
+        answers.add(new Answer(status, headers, body));
+    }
+
+    private void handle(HttpExchange exchange) throws IOException {
+        received.add(new Received(
+                exchange.getRequestMethod() + " " + exchange.getRequestURI(),
+                exchange.getRequestHeaders().getFirst("Request-Id"),
+                exchange.getRequestHeaders().getFirst("If-Match"),
+                exchange.getRequestHeaders().getFirst("If-None-Match"),
+                exchange.getRequestHeaders().getFirst("Authorization")));
+        Answer answer = answers.remove();
+        answer.headers.forEach(exchange.getResponseHeaders()::set);
+        byte[] body = answer.body.getBytes(StandardCharsets.UTF_8);
+        exchange.sendResponseHeaders(answer.status, body.length == 0 ? -1 : body.length);
+        exchange.getResponseBody().write(body);
+        exchange.close();
+    }
+}
