--- a/testbed/src/main/java/org/cicadahead/testbed/Main.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/Main.java
@@ -1,10 +1,16 @@
 package org.cicadahead.testbed;
 
+import org.cicadahead.testbed.emulator.EngineCommand;
+import org.cicadahead.testbed.emulator.ServiceCommand;
+import org.cicadahead.testbed.fleet.FleetException;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
 /** The entry point of the binary {@code testbed}. */
-@Command(name = "testbed", mixinStandardHelpOptions = true)
+@Command(
+        name = "testbed",
+        mixinStandardHelpOptions = true,
+        subcommands = {EngineCommand.class, ServiceCommand.class, QuickstartCommand.class})
 public final class Main {
 
     private Main() {}
@@ -15,6 +21,14 @@
      * @param args the arguments
      */
     public static void main(String[] args) {
-        System.exit(new CommandLine(new Main()).execute(args));
+        System.exit(new CommandLine(new Main())
+                .setExecutionExceptionHandler((failure, command, parsed) -> {
+                    if (failure instanceof FleetException expected) {
+                        command.getErr().println(expected.getMessage());
+                        return 1;
+                    }
+                    throw failure;
+                })
+                .execute(args));
     }
 }
