--- a/daemon/src/main/java/org/cicadahead/daemon/SettingsReader.java
+++ b/daemon/src/main/java/org/cicadahead/daemon/SettingsReader.java
@@ -3,16 +3,17 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
 import com.fasterxml.jackson.databind.cfg.CoercionAction;
 import com.fasterxml.jackson.databind.cfg.CoercionInputShape;
 import com.fasterxml.jackson.databind.exc.MismatchedInputException;
-import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import com.fasterxml.jackson.databind.exc.ValueInstantiationException;
 import com.fasterxml.jackson.databind.type.LogicalType;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
+import java.lang.reflect.RecordComponent;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -20,13 +21,16 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Locale;
-import java.util.TreeSet;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 
 /** Reads settings files. A field that is unknown, of another type or out of range is refused with its line. */
 public final class SettingsReader {
+    private static final PropertyNamingStrategies.SnakeCaseStrategy SNAKE_CASE =
+            new PropertyNamingStrategies.SnakeCaseStrategy();
     private static final TomlMapper MAPPER = TomlMapper.builder()
-            .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+            .propertyNamingStrategy(SNAKE_CASE)
             .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
             .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
             .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
@@ -60,7 +64,9 @@
 
     static Settings parse(String file, String text) throws SettingsException {
         try {
-            return MAPPER.readValue(text, Settings.class);
+            JsonNode root = MAPPER.readTree(text);
+            checkNames(file, text, root, Settings.class, List.of());
+            return MAPPER.treeToValue(root, Settings.class);
         } catch (JsonMappingException e) {
             throw refusal(file, text, e);
         } catch (JsonProcessingException e) {
@@ -69,6 +75,32 @@
         }
     }
 
+    /** A misspelt field is reported itself, not the required field that is missing because of it. */
+    private static void checkNames(String file, String text, JsonNode section, Class<?> type, List<String> path)
+            throws SettingsException {
+        Map<String, Class<?>> known = new TreeMap<>();
+        for (RecordComponent component : type.getRecordComponents()) {
+            known.put(SNAKE_CASE.translate(component.getName()), component.getType());
+        }
+        for (Map.Entry<String, JsonNode> field : section.properties()) {
+            List<String> fieldPath = new ArrayList<>(path);
+            fieldPath.add(field.getKey());
+            Class<?> fieldType = known.get(field.getKey());
+            if (fieldType == null) {
+                String expected = "unknown field; expected one of " + String.join(", ", known.keySet());
+                throw at(file, text, fieldPath, expected, null);
+            }
+            if (fieldType.isRecord()) {
+                checkNames(file, text, field.getValue(), fieldType, fieldPath);
+            }
+        }
+    }
+
+    private static SettingsException at(String file, String text, List<String> path, String expected, Exception cause) {
+        int line = new TomlLines(text).lineOf(path);
+        return new SettingsException(file + ":" + line + ": " + String.join(".", path) + ": " + expected, cause);
+    }
+
     private static SettingsException refusal(String file, String text, JsonMappingException e) {
         List<String> path = new ArrayList<>();
         e.getPath().stream()
@@ -80,8 +112,6 @@
         if (cause != null) {
             path.addAll(Arrays.asList(cause.field().split("\\.")));
             expected = cause.getMessage();
-        } else if (e instanceof UnrecognizedPropertyException unknown) {
-            expected = "unknown field; expected one of " + names(unknown.getKnownPropertyIds());
         } else if (e instanceof MismatchedInputException mismatch) {
             expected = "expected " + describe(mismatch.getTargetType());
         } else if (e instanceof ValueInstantiationException value) {
@@ -89,8 +119,7 @@
         } else {
             expected = e.getOriginalMessage();
         }
-        int line = new TomlLines(text).lineOf(path);
-        return new SettingsException(file + ":" + line + ": " + String.join(".", path) + ": " + expected, e);
+        return at(file, text, path, expected, e);
     }
 
     private static FieldException fieldException(Throwable failure) {
@@ -102,11 +131,6 @@
         return null;
     }
 
-    private static String names(Collection<Object> ids) {
-        return ids.stream().map(String::valueOf).collect(Collectors.toCollection(TreeSet::new)).stream()
-                .collect(Collectors.joining(", "));
-    }
-
     private static String describe(Class<?> type) {
         if (type == null) {
             return "another type";
--- a/daemon/src/test/java/org/cicadahead/daemon/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/cicadahead/daemon/SettingsReaderTest.java
@@ -53,6 +53,7 @@
                     workers = 4 | workers = 0 | s.toml:6: daemon.workers: expected a number from 1 to 1024, got 0
                     workers = 4 | workers = 1.5 | s.toml:6: daemon.workers: expected a whole number
                     workers = 4 | threads = 4 | s.toml:6: daemon.threads: unknown field; expected one of
+                    zone = "a" | zome = "a" | s.toml:4: daemon.zome: unknown field; expected one of
                     zone = "a" | zone = 7 | s.toml:4: daemon.zone: expected a text in quotes
                     zone = "a" | zone = "a b" | s.toml:4: daemon.zone: expected an availability zone name
                     "endpoint" | "router" | s.toml:3: daemon.roles: expected control or entry or endpoint
