Report corrupt MessagePack as malformed instead of ending the reader thread

Cause: the fuzz test of PeerServer logged failed handlers; the MessagePack parser throws unchecked exceptions on corrupt input, which left the reader of a client dead and its connection open, so that calls waited for their time limit. Ruled out: corrupt frames from our own writer; the fuzz test mutates the bytes itself. Change: Codec turns all failures and nil into MALFORMED; a reader that fails closes its connection. Also STEP_RUNNING and CLAIM_FENCED no longer say not run, because another attempt may have run. Before: corruptAnswerFailsTheCallAtOnce failed after 5 s. After: it passes. Conclusion: corrupt input fails the call at once.

--- a/core/src/main/java/org/cicadahead/model/RefusalReason.java
+++ b/core/src/main/java/org/cicadahead/model/RefusalReason.java
@@ -42,8 +42,8 @@
     RATE_GRANT_UNAVAILABLE(503, "No rate grant could be had in time", true, 1),
     /** The step is not the program's next one. */
     STEP_OUT_OF_ORDER(409, "The step is not the next one of the program", true, 0),
-    /** The step runs already. */
-    STEP_RUNNING(409, "The step is already running", true, 1),
+    /** The step runs already, so it is not true that the request was not run. */
+    STEP_RUNNING(409, "The step is already running", false, 1),
     /** A resent step differs from the recorded one. */
     STEP_CHANGED(422, "The step was sent before with other content", true, 0),
     /** The step was taken over by another attempt. */
@@ -62,8 +62,8 @@
     CLAIM_RUNNING(409, "The request is still running", false, 1),
     /** The outcome of the claimed request is not known; it never runs again. */
     OUTCOME_UNKNOWN(409, "The outcome of the request is not known", false, 0),
-    /** A later attempt has closed the claim; this attempt did not run. */
-    CLAIM_FENCED(409, "Another attempt has taken over the request", true, 1),
+    /** A later attempt has taken over the claim; this attempt did not run, but the later one may have. */
+    CLAIM_FENCED(409, "Another attempt has taken over the request", false, 1),
     /** No endpoint of the pool is available. */
     NO_ENDPOINT(503, "No endpoint is available", true, 2),
     /** The endpoint's queue is full. */
--- a/core/src/main/java/org/cicadahead/wire/Codec.java
+++ b/core/src/main/java/org/cicadahead/wire/Codec.java
@@ -66,10 +66,16 @@
      * @throws WireException if the bytes are not such a value
      */
     public static <T> T unpack(byte[] bytes, Class<T> type) throws WireException {
+        T value;
         try {
-            return PACK.readValue(bytes, type);
-        } catch (IOException | IllegalArgumentException e) {
+            value = PACK.readValue(bytes, type);
+        } catch (IOException | RuntimeException e) {
+            // The MessagePack parser reports corrupt input by unchecked exceptions of several types.
             throw new WireException(WireException.Kind.MALFORMED, "cannot decode " + type.getSimpleName(), e);
         }
+        if (value == null) {
+            throw new WireException(WireException.Kind.MALFORMED, type.getSimpleName() + " is nil");
+        }
+        return value;
     }
 }
--- a/core/src/main/java/org/cicadahead/wire/Connection.java
+++ b/core/src/main/java/org/cicadahead/wire/Connection.java
@@ -194,6 +194,9 @@
             }
         } catch (IOException e) {
             close(e);
+        } catch (RuntimeException e) {
+            // A listener that fails must not leave an open connection without a reader.
+            close(new IOException("a listener failed", e));
         }
     }
 }
--- a/core/src/test/java/org/cicadahead/wire/PeerClientTest.java
+++ b/core/src/test/java/org/cicadahead/wire/PeerClientTest.java
@@ -3,8 +3,12 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -113,6 +117,26 @@
         assertThat(((WireException) failure.getCause()).kind()).isEqualTo(WireException.Kind.LOST);
     }
 
+    @Test
+    void corruptAnswerFailsTheCallAtOnce() throws Exception {
+        // The MessagePack parser throws unchecked exceptions on corrupt input, which once ended the reader thread.
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            client = PeerClient.to(
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.getLocalPort()),
+                    MessageCatalog.standard());
+            CompletableFuture<Message> answer = client.call(PING, 60_000);
+            try (Socket socket = listener.accept()) {
+                Frame request = Frame.read(new DataInputStream(socket.getInputStream()));
+                byte[] corrupt = {(byte) 0xc1};
+                new Frame(FrameKind.REPLY, request.call(), "Pong", corrupt)
+                        .write(new DataOutputStream(socket.getOutputStream()));
+                ExecutionException failure =
+                        assertThrows(ExecutionException.class, () -> answer.get(5, TimeUnit.SECONDS));
+                assertThat(((WireException) failure.getCause()).kind()).isEqualTo(WireException.Kind.MALFORMED);
+            }
+        }
+    }
+
     private void connect(PeerHandler handler) throws WireException {
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         server = PeerServer.start(any, MessageCatalog.standard(), workers, handler);
