--- /dev/null
+++ b/control/src/main/java/org/cicadahead/control/ControlAdmin.java
@@ -0,0 +1,200 @@
+package org.cicadahead.control;
+
+import java.net.InetSocketAddress;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.function.Function;
+import org.cicadahead.grants.OrganisationService;
+import org.cicadahead.grants.RateBuckets;
+import org.cicadahead.model.EndpointId;
+import org.cicadahead.model.PoolName;
+import org.cicadahead.model.ProgramKey;
+import org.cicadahead.model.Role;
+import org.cicadahead.operator.AdminBackend;
+import org.cicadahead.operator.AdminException;
+import org.cicadahead.operator.AdminProblem;
+import org.cicadahead.operator.FleetStatus;
+import org.cicadahead.operator.FleetStatus.ConfigurationSpread;
+import org.cicadahead.operator.FleetStatus.DaemonStatus;
+import org.cicadahead.operator.FleetStatus.EndpointStatus;
+import org.cicadahead.operator.FleetStatus.ServiceStatus;
+import org.cicadahead.operator.MemberView;
+import org.cicadahead.protocol.Announcement;
+import org.cicadahead.protocol.Command;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.protocol.MessageCatalog;
+import org.cicadahead.protocol.ProgramView;
+import org.cicadahead.protocol.ReadProgram;
+import org.cicadahead.state.ConfigurationTable;
+import org.cicadahead.state.HistoryException;
+import org.cicadahead.wire.PeerClient;
+
+/** Serves operators from the tables of control. Safe for use by several threads. */
+final class ControlAdmin implements AdminBackend {
+    private static final long FIND_TIMEOUT_MILLIS = 1_000;
+
+    private final ControlService service;
+    private final ControlStateMachine machine;
+    private final Leadership leadership;
+    private final Replicas replicas;
+    private final MessageCatalog catalog;
+
+    ControlAdmin(
+            ControlService service,
+            ControlStateMachine machine,
+            Leadership leadership,
+            Replicas replicas,
+            MessageCatalog catalog) {
+        this.service = service;
+        this.machine = machine;
+        this.leadership = leadership;
+        this.replicas = replicas;
+        this.catalog = catalog;
+    }
+
+    @Override
+    public boolean isLeader() {
+        return leadership.current().isPresent();
+    }
+
+    @Override
+    public Optional<String> leaderAdminAddress() {
+        String leader = leadership.leaderAddress();
+        int colon = leader.lastIndexOf(':');
+        if (colon <= 0) {
+            return Optional.empty();
+        }
+        InetSocketAddress address =
+                new InetSocketAddress(leader.substring(0, colon), Integer.parseInt(leader.substring(colon + 1)));
+        PeerClient client = PeerClient.to(address, catalog);
+        try {
+            Message reply = client.call(new FindAdmin(), FIND_TIMEOUT_MILLIS).get();
+            return reply instanceof AdminAddress found ? Optional.of(found.address()) : Optional.empty();
+        } catch (ExecutionException e) {
+            return Optional.empty();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Optional.empty();
+        } finally {
+            client.close();
+        }
+    }
+
+    @Override
+    public <T> T configuration(Function<ConfigurationTable, T> reader) {
+        return machine.read(state -> reader.apply(state.configuration()));
+    }
+
+    @Override
+    public CompletableFuture<Message> propose(Command command) {
+        return service.propose(command);
+    }
+
+    @Override
+    public FleetStatus status() throws AdminException {
+        Leadership.Term term = term();
+        LeaderTables tables = term.tables();
+        List<DaemonTable.LiveDaemon> daemons = tables.withDaemons(t -> t.list(term.nowMillis()));
+        List<EndpointTable.LiveEndpoint> endpoints = tables.withEndpoints(EndpointTable::list);
+        List<OrganisationService> services = tables.withBuckets(RateBuckets::services);
+        return machine.read(state -> new FleetStatus(
+                leadership.leaderAddress(),
+                tables.term(),
+                spread(state.configuration().revision(), daemons),
+                daemons.stream().map(d -> daemon(d, term.nowMillis())).toList(),
+                endpoints.stream().map(ControlAdmin::endpoint).toList(),
+                service(services),
+                state.programs().size(),
+                state.claims().size(),
+                replicas.list()));
+    }
+
+    @Override
+    public void drain(EndpointId endpoint) throws AdminException {
+        if (!term().tables().withEndpoints(table -> table.drain(endpoint))) {
+            throw new AdminException(AdminProblem.NOT_FOUND, "there is no live endpoint " + endpoint);
+        }
+    }
+
+    @Override
+    public Optional<ProgramView> program(ProgramKey program) throws AdminException {
+        try {
+            return service.program(new ReadProgram(program, 1));
+        } catch (HistoryException e) {
+            throw new AdminException(AdminProblem.INTERNAL, e.getMessage());
+        }
+    }
+
+    @Override
+    public List<MemberView> members() {
+        return replicas.list();
+    }
+
+    @Override
+    public CompletableFuture<Void> addMember(String replica, String address) {
+        return replicas.add(replica, address);
+    }
+
+    @Override
+    public CompletableFuture<Void> removeMember(String replica) {
+        return replicas.remove(replica);
+    }
+
+    private static ConfigurationSpread spread(long revision, List<DaemonTable.LiveDaemon> daemons) {
+        List<Long> applied = daemons.stream()
+                .map(DaemonTable.LiveDaemon::configurationRevision)
+                .sorted()
+                .toList();
+        long lowest = applied.isEmpty() ? revision : applied.get(0);
+        long highest = applied.isEmpty() ? revision : applied.get(applied.size() - 1);
+        int behind = (int) applied.stream().filter(r -> r < revision).count();
+        return new ConfigurationSpread(revision, lowest, highest, behind);
+    }
+
+    private static DaemonStatus daemon(DaemonTable.LiveDaemon daemon, long nowMillis) {
+        return new DaemonStatus(
+                daemon.info().id().value(),
+                daemon.info().roles().stream().map(Role::code).sorted().toList(),
+                String.valueOf(daemon.info().zone()),
+                daemon.info().address(),
+                daemon.configurationRevision(),
+                nowMillis - daemon.heardMillis());
+    }
+
+    private static EndpointStatus endpoint(EndpointTable.LiveEndpoint live) {
+        Announcement announcement = live.announcement();
+        return new EndpointStatus(
+                announcement.endpoint().value(),
+                String.valueOf(announcement.kind()),
+                String.valueOf(announcement.zone()),
+                announcement.address(),
+                String.valueOf(announcement.state()),
+                live.draining(),
+                announcement.pools().stream().map(PoolName::value).sorted().toList(),
+                live.load() == null ? 0 : live.load().queued(),
+                live.load() == null ? 0 : live.load().running(),
+                announcement.capacity());
+    }
+
+    private static ServiceStatus service(List<OrganisationService> services) {
+        Optional<OrganisationService> worst =
+                services.stream().min(Comparator.comparingDouble(OrganisationService::served));
+        return new ServiceStatus(
+                worst.map(w -> w.organisation().value()).orElse(null),
+                worst.map(OrganisationService::served).orElse(1.0),
+                services.stream()
+                        .mapToLong(OrganisationService::deniedWithinRate)
+                        .sum(),
+                services.stream().mapToLong(OrganisationService::asked).sum(),
+                services.stream().mapToLong(OrganisationService::granted).sum());
+    }
+
+    private Leadership.Term term() throws AdminException {
+        return leadership
+                .current()
+                .orElseThrow(() -> new AdminException(AdminProblem.NO_LEADER, "this replica is not the leader"));
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cicadahead/control/ControlService.java
@@ -0,0 +1,247 @@
+package org.cicadahead.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import org.cicadahead.grants.Rate;
+import org.cicadahead.model.OrganisationId;
+import org.cicadahead.model.RefusalReason;
+import org.cicadahead.model.Role;
+import org.cicadahead.operator.ResourceBodies;
+import org.cicadahead.protocol.BeginStep;
+import org.cicadahead.protocol.CheckPrograms;
+import org.cicadahead.protocol.Command;
+import org.cicadahead.protocol.EditReply;
+import org.cicadahead.protocol.EndpointsDelta;
+import org.cicadahead.protocol.GrantRequest;
+import org.cicadahead.protocol.HistoryRecord;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.protocol.NotLeader;
+import org.cicadahead.protocol.ProgramView;
+import org.cicadahead.protocol.ProgramsGone;
+import org.cicadahead.protocol.PutResource;
+import org.cicadahead.protocol.ReadProgram;
+import org.cicadahead.protocol.Refused;
+import org.cicadahead.protocol.StepOutcome;
+import org.cicadahead.protocol.StepReply;
+import org.cicadahead.protocol.Sync;
+import org.cicadahead.protocol.SyncReply;
+import org.cicadahead.replication.ReplicatedLog;
+import org.cicadahead.replication.ReplicationException;
+import org.cicadahead.state.ControlState;
+import org.cicadahead.state.HistoryException;
+import org.cicadahead.wire.PeerHandler;
+import org.cicadahead.wire.Responder;
+import org.cicadahead.wire.WireException;
+import org.jboss.logging.Logger;
+
+/** Answers the requests of daemons. Safe for use by several threads. */
+final class ControlService implements PeerHandler {
+    /** For how long a daemon may use its configuration, in milliseconds from when it sent its heartbeat. */
+    static final long CONFIGURATION_LEASE_MILLIS = 2_000;
+
+    private static final Logger LOG = Logger.getLogger("cicadahead.control");
+
+    private final ReplicatedLog log;
+    private final ControlStateMachine machine;
+    private final HistoryStore histories;
+    private final Leadership leadership;
+    private final OrganisationRates rates;
+    private final ControlMetrics metrics;
+    private final Executor workers;
+    private final Map<Class<? extends Message>, Read> reads = new HashMap<>();
+
+    ControlService(
+            ReplicatedLog log,
+            ControlStateMachine machine,
+            HistoryStore histories,
+            Leadership leadership,
+            ControlMetrics metrics,
+            Executor workers) {
+        this.log = log;
+        this.machine = machine;
+        this.histories = histories;
+        this.leadership = leadership;
+        this.rates = new OrganisationRates(machine);
+        this.metrics = metrics;
+        this.workers = workers;
+        reads.put(Sync.class, (term, request) -> sync(term, (Sync) request));
+        reads.put(GrantRequest.class, (term, request) -> grant(term, (GrantRequest) request));
+        reads.put(ReadProgram.class, (term, request) -> read((ReadProgram) request));
+        reads.put(CheckPrograms.class, (term, request) -> check((CheckPrograms) request));
+    }
+
+    @Override
+    public void handle(Message request, Responder responder) throws WireException {
+        if (request instanceof Command command) {
+            propose(command).whenCompleteAsync((reply, failure) -> answer(responder, reply, failure), workers);
+            return;
+        }
+        Read read = reads.get(request.getClass());
+        if (read == null) {
+            throw new WireException(
+                    WireException.Kind.MALFORMED,
+                    "control does not serve " + request.getClass().getSimpleName());
+        }
+        responder.reply(answer(request, read));
+    }
+
+    /**
+     * Proposes a command and completes its answer.
+     *
+     * @param command the command
+     * @return the answer; {@link NotLeader} if the command certainly is not committed; fails with a {@link
+     *     ReplicationException} if it may be
+     */
+    CompletableFuture<Message> propose(Command command) {
+        if (command instanceof PutResource put) {
+            Optional<EditReply> invalid = ResourceBodies.refusal(put);
+            if (invalid.isPresent()) {
+                metrics.count(command, invalid.get());
+                return CompletableFuture.completedFuture(invalid.get());
+            }
+        }
+        return log.propose(command).handleAsync((reply, failure) -> complete(command, reply, failure), workers);
+    }
+
+    /** Returns a program with its history from a step on, or empty if it is not known. */
+    Optional<ProgramView> program(ReadProgram request) throws HistoryException {
+        Optional<ProgramView> found = machine.read(state -> state.programs().view(request.program()));
+        if (found.isEmpty()) {
+            return found;
+        }
+        ProgramView view = found.get();
+        List<HistoryRecord> history = histories.read(request.program(), request.fromStep(), view.nextStep() - 1);
+        return Optional.of(new ProgramView(
+                view.program(),
+                view.root(),
+                view.nextStep(),
+                view.spentTokens(),
+                view.reservedTokens(),
+                view.budgetTokens(),
+                view.ended(),
+                history));
+    }
+
+    private Message answer(Message request, Read read) throws WireException {
+        Optional<Leadership.Term> term = leadership.current();
+        if (term.isEmpty()) {
+            return new NotLeader(leadership.leaderAddress());
+        }
+        try {
+            return metrics.count(read.answer(term.get(), request));
+        } catch (HistoryException e) {
+            LOG.errorf(e, "control: Cannot answer %s", request.getClass().getSimpleName());
+            throw new WireException(WireException.Kind.REMOTE, e.getMessage(), e);
+        }
+    }
+
+    private void answer(Responder responder, Message reply, Throwable failure) {
+        if (failure == null) {
+            responder.reply(reply);
+        } else {
+            Throwable cause = cause(failure);
+            LOG.warnf("control: A command may not be committed: %s", cause.getMessage());
+            responder.fail(String.valueOf(cause.getMessage()));
+        }
+    }
+
+    private Message complete(Command command, Message reply, Throwable failure) {
+        if (failure != null) {
+            Throwable cause = cause(failure);
+            if (cause instanceof ReplicationException replication && !replication.mayBeCommitted()) {
+                return new NotLeader(log.leaderAddress());
+            }
+            throw new CompletionException(cause);
+        }
+        metrics.count(command, reply);
+        if (command instanceof BeginStep begin && reply instanceof StepReply step) {
+            try {
+                return withHistory(begin, step);
+            } catch (HistoryException e) {
+                throw new CompletionException(e);
+            }
+        }
+        return reply;
+    }
+
+    /** The steps before a granted one are final, so that reading them after the command gives the same as during it. */
+    private StepReply withHistory(BeginStep command, StepReply reply) throws HistoryException {
+        List<HistoryRecord> history = List.of();
+        if (reply.outcome() == StepOutcome.GRANTED) {
+            history = histories.read(command.program(), command.knownSteps() + 1, command.step() - 1);
+        } else if (reply.outcome() == StepOutcome.REPLAYED) {
+            history = histories.read(command.program(), command.step(), command.step());
+            if (history.isEmpty()) {
+                return new StepReply(StepOutcome.ENDED, 0, reply.expectedStep(), history, reply.spentTokens());
+            }
+        }
+        return new StepReply(reply.outcome(), reply.fence(), reply.expectedStep(), history, reply.spentTokens());
+    }
+
+    private Message sync(Leadership.Term term, Sync sync) {
+        long now = term.nowMillis();
+        LeaderTables tables = term.tables();
+        boolean draining = tables.withEndpoints(
+                table -> sync.announcement() != null && table.announce(now, sync.announcement(), sync.load()));
+        tables.withDaemons(table -> {
+            table.heard(now, sync);
+            return null;
+        });
+        EndpointsDelta endpoints = sync.daemon().roles().contains(Role.ENTRY)
+                ? tables.withEndpoints(table -> {
+                    table.advance(now);
+                    return table.since(sync.endpointsEpoch(), sync.endpointsVersion())
+                            .orElse(null);
+                })
+                : null;
+        return machine.read(state -> reply(state, sync, endpoints, draining));
+    }
+
+    private static SyncReply reply(ControlState state, Sync sync, EndpointsDelta endpoints, boolean draining) {
+        boolean poisonChanged = state.poison().version() != sync.poisonVersion();
+        return new SyncReply(
+                CONFIGURATION_LEASE_MILLIS,
+                state.configuration().since(sync.configurationRevision()).orElse(null),
+                endpoints,
+                sync.endedVersion() < 0
+                        ? null
+                        : state.programs().ended().since(sync.endedVersion()).orElse(null),
+                poisonChanged ? state.poison().table() : null,
+                draining);
+    }
+
+    private Message grant(Leadership.Term term, GrantRequest request) {
+        Map<OrganisationId, Rate> current = rates.current();
+        return term.tables()
+                .withBuckets(buckets -> buckets.serve(
+                        term.nowMillis(), request, organisation -> Optional.ofNullable(current.get(organisation))));
+    }
+
+    private Message read(ReadProgram request) throws HistoryException {
+        Optional<ProgramView> view = program(request);
+        return view.isPresent()
+                ? view.get()
+                : new Refused(RefusalReason.PROGRAM_UNKNOWN, "the program " + request.program() + " does not exist");
+    }
+
+    private Message check(CheckPrograms request) {
+        return machine.read(state -> new ProgramsGone(request.programs().stream()
+                .filter(p -> state.programs().isGone(p))
+                .toList()));
+    }
+
+    private static Throwable cause(Throwable failure) {
+        return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+    }
+
+    /** Answers a request that only the leader may answer. */
+    @FunctionalInterface
+    private interface Read {
+        Message answer(Leadership.Term term, Message request) throws HistoryException;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cicadahead/control/HistoryStore.java
@@ -0,0 +1,243 @@
+package org.cicadahead.control;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.cicadahead.model.ProgramKey;
+import org.cicadahead.protocol.HistoryRecord;
+import org.cicadahead.state.HistoryException;
+import org.cicadahead.state.HistorySink;
+import org.cicadahead.wire.Codec;
+import org.cicadahead.wire.WireException;
+import org.jboss.logging.Logger;
+
+/**
+ * Histories of programs in segment files; memory holds only where each step is. Safe for use by several threads: the
+ * applying thread appends and deletes, workers read. The lock is a leaf and is not held while files are read.
+ *
+ * <p>The files are not synced and are deleted at each start, as the snapshot and the log hold the same steps durably
+ * and rebuild the files. Each record carries a CRC32C and its program, which reads verify.
+ */
+final class HistoryStore implements HistorySink, Closeable {
+    /** A segment is sealed at this size, in bytes. */
+    static final long SEGMENT_BYTES = 64L * 1024 * 1024;
+
+    private static final Logger LOG = Logger.getLogger("cicadahead.control");
+    private static final String SUFFIX = ".history";
+
+    private final Path folder;
+    private final long segmentBytes;
+    private final Map<ProgramKey, List<HistoryLocation>> index = new HashMap<>();
+    private final Set<HistorySegment> segments = new LinkedHashSet<>();
+    private HistorySegment current;
+    private long created;
+
+    private HistoryStore(Path folder, long segmentBytes) {
+        this.folder = folder;
+        this.segmentBytes = segmentBytes;
+    }
+
+    static HistoryStore open(Path folder, long segmentBytes) throws IOException {
+        Files.createDirectories(folder);
+        try (DirectoryStream<Path> old = Files.newDirectoryStream(folder, "*" + SUFFIX)) {
+            for (Path file : old) {
+                Files.delete(file);
+            }
+        }
+        HistoryStore store = new HistoryStore(folder, segmentBytes);
+        store.roll();
+        return store;
+    }
+
+    @Override
+    public synchronized void append(ProgramKey program, HistoryRecord step) throws HistoryException {
+        List<HistoryLocation> steps = index.computeIfAbsent(program, p -> new ArrayList<>());
+        if (step.step() != steps.size() + 1) {
+            throw new HistoryException(
+                    "step " + step.step() + " of " + program + " does not follow step " + steps.size(), null);
+        }
+        try {
+            steps.add(write(program, Codec.pack(new StoredStep(program, step))));
+        } catch (IOException | WireException e) {
+            throw new HistoryException("cannot append step " + step.step() + " of " + program, e);
+        }
+    }
+
+    @Override
+    public synchronized void delete(ProgramKey program) {
+        List<HistoryLocation> steps = index.remove(program);
+        if (steps == null) {
+            return;
+        }
+        Set<HistorySegment> touched = new HashSet<>();
+        for (HistoryLocation step : steps) {
+            step.segment().programs.remove(program);
+            touched.add(step.segment());
+            drop(step);
+        }
+        touched.forEach(this::compact);
+    }
+
+    /**
+     * Reads steps of a program.
+     *
+     * @param program the program
+     * @param fromStep the first step
+     * @param toStep the last step
+     * @return those of the steps that exist, in order
+     * @throws HistoryException if a step cannot be read, or is another program's
+     */
+    List<HistoryRecord> read(ProgramKey program, int fromStep, int toStep) throws HistoryException {
+        List<HistoryLocation> wanted;
+        synchronized (this) {
+            List<HistoryLocation> steps = index.getOrDefault(program, List.of());
+            int from = Math.max(0, fromStep - 1);
+            int to = Math.min(toStep, steps.size());
+            wanted = from >= to ? List.of() : List.copyOf(steps.subList(from, to));
+            wanted.forEach(l -> l.segment().pin());
+        }
+        try {
+            List<HistoryRecord> records = new ArrayList<>(wanted.size());
+            for (HistoryLocation location : wanted) {
+                StoredStep stored = Codec.unpack(location.read(), StoredStep.class);
+                int expected = Math.max(1, fromStep) + records.size();
+                if (!stored.program().equals(program) || stored.record().step() != expected) {
+                    throw new HistoryException(
+                            "the record of step " + expected + " of " + program + " is another", null);
+                }
+                records.add(stored.record());
+            }
+            return records;
+        } catch (IOException | WireException e) {
+            throw new HistoryException("cannot read the history of " + program, e);
+        } finally {
+            unpin(wanted);
+        }
+    }
+
+    /** Freezes all histories for a snapshot; their segments stay until the result is closed. */
+    synchronized Frozen freeze() {
+        Map<ProgramKey, List<HistoryLocation>> copy = new TreeMap<>();
+        index.forEach((program, steps) -> copy.put(program, List.copyOf(steps)));
+        segments.forEach(HistorySegment::pin);
+        return new Frozen(copy, List.copyOf(segments));
+    }
+
+    /** Deletes all histories. */
+    synchronized void clear() throws IOException {
+        for (ProgramKey program : List.copyOf(index.keySet())) {
+            delete(program);
+        }
+        roll();
+    }
+
+    synchronized int segmentCount() {
+        return segments.size();
+    }
+
+    @Override
+    public synchronized void close() throws IOException {
+        for (HistorySegment segment : segments) {
+            segment.close();
+        }
+    }
+
+    private void roll() throws IOException {
+        HistorySegment full = current;
+        created++;
+        current = HistorySegment.create(folder.resolve(String.format("%016d%s", created, SUFFIX)));
+        segments.add(current);
+        if (full != null) {
+            full.seal();
+            forgetIfDead(full);
+        }
+    }
+
+    private HistoryLocation write(ProgramKey program, byte[] record) throws IOException {
+        if (current.size() >= segmentBytes) {
+            roll();
+        }
+        current.programs.add(program);
+        return current.append(record);
+    }
+
+    /** Moves the last live steps out of a segment, so that one long program does not keep the file. */
+    private void compact(HistorySegment segment) {
+        if (!segment.isMostlyDead()) {
+            return;
+        }
+        try {
+            for (ProgramKey program : List.copyOf(segment.programs)) {
+                List<HistoryLocation> steps = index.get(program);
+                for (int i = 0; i < steps.size(); i++) {
+                    HistoryLocation old = steps.get(i);
+                    if (old.segment() == segment) {
+                        steps.set(i, write(program, old.read()));
+                        drop(old);
+                    }
+                }
+            }
+            segment.programs.clear();
+        } catch (IOException e) {
+            LOG.warnf(e, "control: Cannot compact a history segment");
+        }
+    }
+
+    private void drop(HistoryLocation location) {
+        try {
+            location.segment().drop(location.length());
+        } catch (IOException e) {
+            LOG.warnf(e, "control: Cannot delete a history segment");
+        }
+        forgetIfDead(location.segment());
+    }
+
+    private void forgetIfDead(HistorySegment segment) {
+        if (segment.isDead()) {
+            segments.remove(segment);
+        }
+    }
+
+    private synchronized void unpin(List<HistoryLocation> locations) {
+        locations.forEach(l -> unpin(l.segment()));
+    }
+
+    private synchronized void unpin(HistorySegment segment) {
+        try {
+            segment.unpin();
+        } catch (IOException e) {
+            LOG.warnf(e, "control: Cannot delete a history segment");
+        }
+    }
+
+    /** Histories frozen for a snapshot. */
+    final class Frozen implements Closeable {
+        private final Map<ProgramKey, List<HistoryLocation>> histories;
+        private final List<HistorySegment> pinned;
+
+        private Frozen(Map<ProgramKey, List<HistoryLocation>> histories, List<HistorySegment> pinned) {
+            this.histories = histories;
+            this.pinned = pinned;
+        }
+
+        /** Returns where all steps are, program by program in order of steps. */
+        Iterable<HistoryLocation> steps() {
+            return () -> histories.values().stream().flatMap(List::stream).iterator();
+        }
+
+        @Override
+        public void close() {
+            pinned.forEach(HistoryStore.this::unpin);
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cicadahead/control/Housekeeping.java
@@ -0,0 +1,93 @@
+package org.cicadahead.control;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.cicadahead.model.ProgramKey;
+import org.cicadahead.protocol.ClearSuspects;
+import org.cicadahead.protocol.Command;
+import org.cicadahead.protocol.EndProgram;
+import org.cicadahead.protocol.OrphanClaims;
+import org.cicadahead.state.ClaimTable.StartedClaims;
+import org.cicadahead.state.ProgramTable;
+import org.jboss.logging.Logger;
+
+/** What the leader does on its own: ends idle programs, marks orphaned claims and makes the tables forget. */
+final class Housekeeping implements Runnable {
+    /** How often the leader looks, in milliseconds. */
+    static final long INTERVAL_MILLIS = 500;
+    /** Claims of an endpoint that is absent for this long are orphans, in milliseconds. */
+    static final long ORPHAN_MILLIS = 5_000;
+
+    private static final Logger LOG = Logger.getLogger("cicadahead.control");
+    /** Programs ended in one round, so that callers' commands do not wait behind them. */
+    private static final int MAX_ENDS = 200;
+
+    private static final long PROPOSE_TIMEOUT_MILLIS = 2_000;
+
+    private final ControlService service;
+    private final ControlStateMachine machine;
+    private final Leadership leadership;
+    private final LongSupplier wallClock;
+
+    Housekeeping(ControlService service, ControlStateMachine machine, Leadership leadership, LongSupplier wallClock) {
+        this.service = service;
+        this.machine = machine;
+        this.leadership = leadership;
+        this.wallClock = wallClock;
+    }
+
+    @Override
+    public void run() {
+        try {
+            Optional<Leadership.Term> term = leadership.current();
+            if (term.isPresent()) {
+                round(term.get());
+            }
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "control: Housekeeping failed");
+        }
+    }
+
+    private void round(Leadership.Term term) {
+        term.tables().withEndpoints(table -> {
+            table.advance(term.nowMillis());
+            return null;
+        });
+        for (StartedClaims claims : machine.read(state -> state.claims().startedByEndpoint())) {
+            long before = orphansBefore(term, claims);
+            if (before > claims.lowestGeneration()) {
+                propose(new OrphanClaims(claims.endpoint(), before));
+            }
+        }
+        long wallMillis = wallClock.getAsLong();
+        List<ProgramKey> idle =
+                machine.read(state -> state.programs().idle(Math.max(wallMillis, state.lastMillis()), MAX_ENDS));
+        idle.forEach(program -> propose(new EndProgram(program, ProgramTable.IDLE_CAUSE)));
+        if (machine.read(state -> state.hasExpired(wallMillis))) {
+            // An empty command carries the leader's time to the tables when no other command does.
+            propose(new ClearSuspects(List.of()));
+        }
+    }
+
+    private static long orphansBefore(Leadership.Term term, StartedClaims claims) {
+        return term.tables().withEndpoints(table -> {
+            Optional<Long> generation = table.generation(claims.endpoint());
+            if (generation.isPresent()) {
+                return generation.get();
+            }
+            boolean absent = table.absentMillis(term.nowMillis(), claims.endpoint()) >= ORPHAN_MILLIS;
+            return absent ? claims.highestGeneration() + 1 : Long.MIN_VALUE;
+        });
+    }
+
+    private void propose(Command command) {
+        service.propose(command)
+                .orTimeout(PROPOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .exceptionally(failure -> {
+                    LOG.debugf(failure, "control: A housekeeping command failed");
+                    return null;
+                });
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cicadahead/control/Leadership.java
@@ -0,0 +1,51 @@
+package org.cicadahead.control;
+
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.cicadahead.replication.ReplicatedLog;
+
+/**
+ * Gives access to the tables of the leader, only while this replica holds the leader lease. Safe for use by several
+ * threads.
+ */
+final class Leadership {
+    private final ReplicatedLog log;
+    private final LongSupplier clock;
+    private LeaderTables tables;
+    private long lastMillis;
+
+    Leadership(ReplicatedLog log, LongSupplier clock) {
+        this.log = log;
+        this.clock = clock;
+    }
+
+    /**
+     * Returns the tables of the leader.
+     *
+     * @return the tables with the present time, or empty if this replica does not hold the lease now
+     */
+    synchronized Optional<Term> current() {
+        long now = Math.max(lastMillis, clock.getAsLong());
+        lastMillis = now;
+        long term = log.term();
+        if (!log.holdsLease(now) || log.term() != term) {
+            return Optional.empty();
+        }
+        if (tables == null || tables.term() != term) {
+            tables = new LeaderTables(term, now);
+        }
+        return Optional.of(new Term(tables, now));
+    }
+
+    String leaderAddress() {
+        return log.leaderAddress();
+    }
+
+    /**
+     * A moment of a leadership.
+     *
+     * @param tables the tables of the leader
+     * @param nowMillis the monotonic time at which it held the lease
+     */
+    record Term(LeaderTables tables, long nowMillis) {}
+}
--- /dev/null
+++ b/control/src/main/java/org/cicadahead/grants/OrganisationService.java
@@ -0,0 +1,26 @@
+package org.cicadahead.grants;
+
+import org.cicadahead.model.OrganisationId;
+
+/**
+ * How an organisation was served by the leader since it began. Immutable.
+ *
+ * @param organisation the organisation
+ * @param asked how often entries asked for requests
+ * @param granted the requests granted
+ * @param deniedWithinRate how often nothing was granted although the organisation was within its rate
+ * @param deniedOverRate how often nothing was granted as its rate was used up
+ */
+public record OrganisationService(
+        OrganisationId organisation, long asked, long granted, long deniedWithinRate, long deniedOverRate) {
+
+    /**
+     * Returns the part of the asks within the rate that got a grant.
+     *
+     * @return from 0 to 1; 1 if none was within the rate
+     */
+    public double served() {
+        long entitled = asked - deniedOverRate;
+        return entitled == 0 ? 1.0 : 1.0 - (double) deniedWithinRate / entitled;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cicadahead/grants/Rate.java
@@ -0,0 +1,54 @@
+package org.cicadahead.grants;
+
+import org.cicadahead.model.Organisation;
+
+/**
+ * Rate and burst in billionths of a request. Immutable.
+ *
+ * <p>Whole numbers make the buckets exact to the request over any time; a rate is rounded down to a multiple of one
+ * request in 10^6 s.
+ *
+ * @param unitsPerMilli the refill in billionths of a request per millisecond
+ * @param burst the burst in requests
+ */
+public record Rate(long unitsPerMilli, long burst) {
+    /** Units of one request. */
+    public static final long UNITS = 1_000_000_000L;
+
+    private static final double UNITS_PER_MILLI = 1e6;
+    private static final long MAX_UNITS_PER_MILLI = UNITS * 1_000_000;
+    private static final long MAX_BURST = Long.MAX_VALUE / UNITS / 4;
+    private static final long MAX_WAIT_MILLIS = 86_400_000;
+
+    /**
+     * Returns the rate of an organisation.
+     *
+     * @param organisation the organisation
+     * @return the rate
+     */
+    public static Rate of(Organisation organisation) {
+        long units = (long) Math.min(MAX_UNITS_PER_MILLI, Math.floor(organisation.ratePerSecond() * UNITS_PER_MILLI));
+        return new Rate(units, Math.min(MAX_BURST, organisation.burst()));
+    }
+
+    /** How many requests may be granted and not yet be reported as spent. */
+    long outstandingLimit() {
+        return Math.max(1, burst / 2);
+    }
+
+    /** The refill of a time, at most a limit. */
+    long refill(long millis, long limitUnits) {
+        if (millis <= 0 || unitsPerMilli == 0 || limitUnits <= 0) {
+            return 0;
+        }
+        return millis > limitUnits / unitsPerMilli ? limitUnits : Math.min(limitUnits, millis * unitsPerMilli);
+    }
+
+    /** The time in which a number of units is refilled, rounded up; a day if never. */
+    long millisFor(long units) {
+        if (unitsPerMilli == 0) {
+            return MAX_WAIT_MILLIS;
+        }
+        return Math.min(MAX_WAIT_MILLIS, (units + unitsPerMilli - 1) / unitsPerMilli);
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cicadahead/operator/AdminProblem.java
@@ -0,0 +1,79 @@
+package org.cicadahead.operator;
+
+import java.util.Locale;
+import org.cicadahead.protocol.EditOutcome;
+
+/** Why an admin request is refused. Each has a counter {@code admin.refusals.<code>}. */
+public enum AdminProblem {
+    /** No bearer token, or another one. */
+    UNAUTHENTICATED(401, "The bearer token is missing or not valid"),
+    /** The request could not be parsed. */
+    MALFORMED(400, "The request is malformed"),
+    /** The resource is not valid. */
+    INVALID(422, "The resource is not valid"),
+    /** Neither If-Match nor If-None-Match was sent. */
+    PRECONDITION_REQUIRED(428, "A change needs If-Match or If-None-Match: *"),
+    /** The edit was based on another revision. */
+    CONFLICT(409, "The resource has changed"),
+    /** The resource does not exist. */
+    NOT_FOUND(404, "Not found"),
+    /** The path does not take the method. */
+    METHOD_NOT_ALLOWED(405, "The method is not allowed"),
+    /** Several keys begin with the prefix. */
+    AMBIGUOUS(409, "More than one key has this prefix"),
+    /** The body is larger than the limit. */
+    TOO_LARGE(413, "The body is too large"),
+    /** There is no leader. */
+    NO_LEADER(503, "Control has no leader"),
+    /** The change may be committed or not; a resend with the same request id tells. */
+    UNCONFIRMED(504, "The change could not be confirmed"),
+    /** The members cannot be changed now. */
+    MEMBERS_REFUSED(409, "The members cannot be changed"),
+    /** An internal error. */
+    INTERNAL(500, "Internal error");
+
+    private final int status;
+    private final String title;
+
+    AdminProblem(int status, String title) {
+        this.status = status;
+        this.title = title;
+    }
+
+    /**
+     * Returns the problem of an edit that was not accepted.
+     *
+     * @param outcome the outcome
+     * @return the problem
+     */
+    static AdminProblem of(EditOutcome outcome) {
+        return valueOf(outcome.name());
+    }
+
+    /**
+     * Returns the stable code in lower case with underscores.
+     *
+     * @return the code
+     */
+    public String code() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Returns the HTTP status.
+     *
+     * @return the status
+     */
+    public int status() {
+        return status;
+    }
+
+    /**
+     * Returns a short sentence for people.
+     *
+     * @return the title
+     */
+    public String title() {
+        return title;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cicadahead/operator/FleetRequests.java
@@ -0,0 +1,94 @@
+package org.cicadahead.operator;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.cicadahead.model.EndpointId;
+import org.cicadahead.model.OrganisationId;
+import org.cicadahead.model.ProgramId;
+import org.cicadahead.model.ProgramKey;
+import org.cicadahead.protocol.ProgramView;
+import org.cicadahead.wire.Codec;
+
+/** Serves the requests on the running fleet. Safe for use by several threads. */
+final class FleetRequests {
+    /** How long a change of the members may take, in milliseconds; a new replica first catches up. */
+    private static final long MEMBERS_TIMEOUT_MILLIS = 30_000;
+
+    private final AdminBackend backend;
+
+    FleetRequests(AdminBackend backend) {
+        this.backend = backend;
+    }
+
+    AdminReply status() throws AdminException {
+        return AdminReply.of(AdminReply.OK, backend.status());
+    }
+
+    AdminReply members() {
+        return AdminReply.of(AdminReply.OK, new MemberList(backend.members()));
+    }
+
+    AdminReply addMember(String replica, AdminRequest request) throws AdminException {
+        String address = request.json().path("address").asText();
+        if (address.isEmpty()) {
+            throw new AdminException(AdminProblem.MALFORMED, "the body needs an address");
+        }
+        await(backend.addMember(replica, address));
+        return members();
+    }
+
+    AdminReply removeMember(String replica) throws AdminException {
+        await(backend.removeMember(replica));
+        return members();
+    }
+
+    AdminReply drain(String endpoint) throws AdminException {
+        try {
+            backend.drain(EndpointId.of(endpoint));
+        } catch (IllegalArgumentException e) {
+            throw new AdminException(AdminProblem.MALFORMED, e.getMessage());
+        }
+        ObjectNode body =
+                Codec.json().createObjectNode().put("endpoint", endpoint).put("draining", true);
+        return AdminReply.of(AdminReply.ACCEPTED, body);
+    }
+
+    AdminReply program(String organisation, String id) throws AdminException {
+        try {
+            ProgramKey key = ProgramKey.of(OrganisationId.of(organisation), ProgramId.of(id));
+            ProgramView view = backend.program(key)
+                    .orElseThrow(() -> new AdminException(AdminProblem.NOT_FOUND, "there is no program " + key));
+            return AdminReply.of(AdminReply.OK, view);
+        } catch (IllegalArgumentException e) {
+            throw new AdminException(AdminProblem.MALFORMED, e.getMessage());
+        }
+    }
+
+    private static void await(CompletableFuture<Void> change) throws AdminException {
+        try {
+            change.get(MEMBERS_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof AdminException refused) {
+                throw refused;
+            }
+            throw new AdminException(
+                    AdminProblem.MEMBERS_REFUSED, String.valueOf(e.getCause().getMessage()));
+        } catch (TimeoutException e) {
+            throw new AdminException(AdminProblem.UNCONFIRMED, "the change of the members is not finished");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new AdminException(AdminProblem.UNCONFIRMED, "the process is shutting down");
+        }
+    }
+
+    /**
+     * All replicas.
+     *
+     * @param items the replicas
+     */
+    private record MemberList(List<MemberView> items) {}
+}
--- /dev/null
+++ b/control/src/main/java/org/cicadahead/operator/KeyRequests.java
@@ -0,0 +1,112 @@
+package org.cicadahead.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.security.SecureRandom;
+import java.util.Base64;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import org.cicadahead.model.RequestId;
+import org.cicadahead.model.ResourceKind;
+import org.cicadahead.protocol.DeleteResource;
+import org.cicadahead.protocol.EditReply;
+import org.cicadahead.protocol.PutResource;
+import org.cicadahead.protocol.ResourceChange;
+import org.cicadahead.wire.Codec;
+
+/** Serves the requests on caller keys. Safe for use by several threads. */
+final class KeyRequests {
+    private static final String PREFIX = "ck_";
+    private static final int KEY_BYTES = 32;
+    /** The shortest digest prefix that names a key: 2^32 keys are never reached. */
+    private static final int MIN_PREFIX = 8;
+
+    private final AdminBackend backend;
+    private final ResourceRequests resources;
+    private final SecureRandom random = new SecureRandom();
+
+    KeyRequests(AdminBackend backend, ResourceRequests resources) {
+        this.backend = backend;
+        this.resources = resources;
+    }
+
+    /** Creates a key. Only its digest is kept, so that a resend gets the recorded digest but not the key. */
+    AdminReply create(AdminRequest request) throws AdminException {
+        JsonNode body = request.json();
+        String organisation = body.path("organisation").asText();
+        resources.find(ResourceKind.ORGANISATION, organisation);
+        String key = draw();
+        String digest = digest(key);
+        ObjectNode resource = Codec.json()
+                .createObjectNode()
+                .put("digest", digest)
+                .put("organisation", organisation)
+                .put("label", body.path("label").asText(""));
+        RequestId id = request.request();
+        EditReply reply = resources.edit(new PutResource(ResourceKind.KEY, digest, resource, 0, id));
+        ObjectNode answer = Codec.json()
+                .createObjectNode()
+                .put("digest", reply.current().name())
+                .put("organisation", organisation)
+                .put("revision", reply.current().revision());
+        if (reply.current().name().equals(digest)) {
+            answer.put("key", key);
+        } else {
+            answer.put("detail", "the key was shown in the first answer only; revoke it if that answer was lost");
+        }
+        return AdminReply.of(AdminReply.CREATED, answer);
+    }
+
+    /** Revokes a key. A precondition is not needed, as a key never changes. */
+    AdminReply revoke(String prefix, AdminRequest request) throws AdminException {
+        RequestId id = request.request();
+        Optional<EditReply> recorded = backend.configuration(c -> c.recorded(id));
+        ResourceChange key = recorded.isPresent() && recorded.get().outcome().accepted()
+                ? recorded.get().current()
+                : find(prefix);
+        if (!key.name().startsWith(prefix) || key.kind() != ResourceKind.KEY) {
+            throw new AdminException(AdminProblem.INVALID, "the request id was used for another edit");
+        }
+        if (key.body() == null) {
+            return AdminReply.of(AdminReply.OK, key);
+        }
+        long expected = request.hasPrecondition() ? request.expectedRevision() : key.revision();
+        EditReply reply = resources.edit(new DeleteResource(ResourceKind.KEY, key.name(), expected, id));
+        return AdminReply.of(AdminReply.OK, reply.current());
+    }
+
+    private static String digest(String key) {
+        try {
+            MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(sha256.digest(key.getBytes(StandardCharsets.US_ASCII)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("Every Java runtime has SHA-256", e);
+        }
+    }
+
+    private String draw() {
+        byte[] bytes = new byte[KEY_BYTES];
+        random.nextBytes(bytes);
+        return PREFIX + Base64.getUrlEncoder().withoutPadding().encodeToString(bytes);
+    }
+
+    private ResourceChange find(String prefix) throws AdminException {
+        if (prefix.length() < MIN_PREFIX) {
+            throw new AdminException(AdminProblem.MALFORMED, "give at least " + MIN_PREFIX + " digits of the digest");
+        }
+        List<ResourceChange> keys = backend.configuration(c -> c.list(ResourceKind.KEY).stream()
+                .filter(k -> k.name().startsWith(prefix))
+                .toList());
+        if (keys.isEmpty()) {
+            throw new AdminException(AdminProblem.NOT_FOUND, "no key has the digest prefix " + prefix);
+        }
+        if (keys.size() > 1) {
+            throw new AdminException(AdminProblem.AMBIGUOUS, keys.size() + " keys have the digest prefix " + prefix);
+        }
+        return keys.get(0);
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cicadahead/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The admin HTTP API of control. */
+package org.cicadahead.operator;
--- /dev/null
+++ b/control/src/main/java/org/cicadahead/state/Claim.java
@@ -0,0 +1,55 @@
+package org.cicadahead.state;
+
+import org.cicadahead.model.ClaimKey;
+import org.cicadahead.model.EndpointId;
+import org.cicadahead.model.RequestDigest;
+import org.cicadahead.model.RunId;
+import org.cicadahead.protocol.Outcome;
+
+/**
+ * A claim of a request that may not be repeated. Immutable.
+ *
+ * @param key the claim
+ * @param digest the digest of the request
+ * @param state the state
+ * @param fence the fencing token of the last attempt
+ * @param nonce the nonce of the last attempt
+ * @param changedMillis when the state last changed, in leader time
+ * @param endpoint the endpoint that started it, or null
+ * @param generation the generation of the endpoint daemon that started it
+ * @param run the run that started it, or null
+ * @param outcome the outcome if done, else null
+ */
+public record Claim(
+        ClaimKey key,
+        RequestDigest digest,
+        ClaimState state,
+        long fence,
+        String nonce,
+        long changedMillis,
+        EndpointId endpoint,
+        long generation,
+        RunId run,
+        Outcome outcome) {
+
+    static Claim pending(ClaimKey key, RequestDigest digest, long fence, String nonce, long nowMillis) {
+        return new Claim(key, digest, ClaimState.PENDING, fence, nonce, nowMillis, null, 0, null, null);
+    }
+
+    Claim started(EndpointId byEndpoint, long byGeneration, RunId byRun, long nowMillis) {
+        return new Claim(
+                key, digest, ClaimState.STARTED, fence, nonce, nowMillis, byEndpoint, byGeneration, byRun, null);
+    }
+
+    Claim ended(ClaimState endState, Outcome result, long nowMillis) {
+        return new Claim(key, digest, endState, fence, nonce, nowMillis, endpoint, generation, run, result);
+    }
+
+    boolean isStartedBy(long byFence, RunId byRun) {
+        return state == ClaimState.STARTED && isAttempt(byFence, byRun);
+    }
+
+    boolean isAttempt(long byFence, RunId byRun) {
+        return fence == byFence && byRun.equals(run);
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cicadahead/state/ConfigurationTable.java
@@ -0,0 +1,252 @@
+package org.cicadahead.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.cicadahead.model.RequestId;
+import org.cicadahead.model.ResourceKind;
+import org.cicadahead.protocol.ConfigurationDelta;
+import org.cicadahead.protocol.DeleteResource;
+import org.cicadahead.protocol.EditOutcome;
+import org.cicadahead.protocol.EditReply;
+import org.cicadahead.protocol.PutResource;
+import org.cicadahead.protocol.ResourceChange;
+
+/**
+ * The configuration resources under one revision counter. Not safe for use by several threads.
+ *
+ * <p>Results of edits are recorded by request id for {@value #REQUEST_RETENTION_MILLIS} ms (24 h), in which a resend
+ * gets the recorded result. A resend after that runs as a new edit; its expected revision is old by then, so that it
+ * ends as a conflict and changes nothing.
+ */
+public final class ConfigurationTable {
+    /** For how long results of edits are recorded, in milliseconds. */
+    public static final long REQUEST_RETENTION_MILLIS = 24 * 60 * 60 * 1_000L;
+    /** Deletions listed for receivers that are behind: two days of the expected 470 changes a day. */
+    static final int MAX_DELETIONS = 1_000;
+
+    private final Map<ResourceName, ResourceChange> current = new TreeMap<>();
+    private final TreeMap<Long, ResourceChange> byRevision = new TreeMap<>();
+    private final Deque<Long> deletions = new ArrayDeque<>();
+    private final Map<RequestId, RecordedEdit> recorded = new HashMap<>();
+    private final Deque<RecordedEdit> recordedInOrder = new ArrayDeque<>();
+    private long revision;
+    private long forgottenRevision;
+
+    ConfigurationTable() {}
+
+    /**
+     * Returns the revision of the last accepted edit.
+     *
+     * @return the revision; 0 if there was none
+     */
+    public long revision() {
+        return revision;
+    }
+
+    /**
+     * Returns a resource.
+     *
+     * @param kind the kind
+     * @param name the name
+     * @return the resource, if it exists
+     */
+    public Optional<ResourceChange> find(ResourceKind kind, String name) {
+        return Optional.ofNullable(current.get(new ResourceName(kind, name)));
+    }
+
+    /**
+     * Returns all resources of a kind in order of name.
+     *
+     * @param kind the kind
+     * @return the resources
+     */
+    public List<ResourceChange> list(ResourceKind kind) {
+        return current.values().stream().filter(r -> r.kind() == kind).toList();
+    }
+
+    /**
+     * Returns the recorded result of an edit.
+     *
+     * @param request the request id
+     * @return the result, if it is recorded
+     */
+    public Optional<EditReply> recorded(RequestId request) {
+        return Optional.ofNullable(recorded.get(request)).map(RecordedEdit::reply);
+    }
+
+    /**
+     * Returns what a receiver lacks.
+     *
+     * @param sinceRevision the revision that it has
+     * @return the changes, or empty if it lacks nothing
+     */
+    public Optional<ConfigurationDelta> since(long sinceRevision) {
+        if (sinceRevision >= revision) {
+            return Optional.empty();
+        }
+        if (sinceRevision < forgottenRevision || sinceRevision <= 0) {
+            List<ResourceChange> all =
+                    byRevision.values().stream().filter(r -> r.body() != null).toList();
+            return Optional.of(new ConfigurationDelta(true, revision, all));
+        }
+        Collection<ResourceChange> later =
+                byRevision.tailMap(sinceRevision, false).values();
+        return Optional.of(new ConfigurationDelta(false, revision, List.copyOf(later)));
+    }
+
+    EditReply put(long nowMillis, PutResource edit) {
+        RecordedEdit before = recorded.get(edit.request());
+        String fingerprint = fingerprint(edit);
+        if (before != null) {
+            return before.replyTo(fingerprint);
+        }
+        ResourceName name = new ResourceName(edit.kind(), edit.name());
+        ResourceChange existing = current.get(name);
+        long have = existing == null ? 0 : existing.revision();
+        EditReply reply;
+        if (edit.body() == null || edit.body().isNull()) {
+            reply = new EditReply(EditOutcome.INVALID, existing, "the resource is missing");
+        } else if (edit.expectedRevision() != have) {
+            reply = conflict(existing, have, edit.expectedRevision());
+        } else {
+            reply = new EditReply(EditOutcome.ACCEPTED, change(name, edit.body()), "");
+        }
+        return record(nowMillis, edit.request(), fingerprint, reply);
+    }
+
+    EditReply delete(long nowMillis, DeleteResource edit) {
+        RecordedEdit before = recorded.get(edit.request());
+        String fingerprint = "delete " + edit.kind() + " " + edit.name() + " " + edit.expectedRevision();
+        if (before != null) {
+            return before.replyTo(fingerprint);
+        }
+        ResourceName name = new ResourceName(edit.kind(), edit.name());
+        ResourceChange existing = current.get(name);
+        EditReply reply;
+        if (existing == null) {
+            reply = new EditReply(EditOutcome.NOT_FOUND, null, "the resource does not exist");
+        } else if (edit.expectedRevision() != existing.revision()) {
+            reply = conflict(existing, existing.revision(), edit.expectedRevision());
+        } else {
+            reply = new EditReply(EditOutcome.ACCEPTED, change(name, null), "");
+        }
+        return record(nowMillis, edit.request(), fingerprint, reply);
+    }
+
+    boolean hasExpired(long nowMillis) {
+        RecordedEdit oldest = recordedInOrder.peekFirst();
+        return oldest != null && oldest.atMillis() + REQUEST_RETENTION_MILLIS <= nowMillis;
+    }
+
+    void expire(long nowMillis) {
+        while (hasExpired(nowMillis)) {
+            recorded.remove(recordedInOrder.removeFirst().request());
+        }
+    }
+
+    ConfigurationImage image() {
+        return new ConfigurationImage(
+                revision, forgottenRevision, List.copyOf(byRevision.values()), List.copyOf(recordedInOrder));
+    }
+
+    void restore(ConfigurationImage image) {
+        revision = image.revision();
+        forgottenRevision = image.forgottenRevision();
+        for (ResourceChange change : image.changes()) {
+            byRevision.put(change.revision(), change);
+            if (change.body() == null) {
+                deletions.addLast(change.revision());
+            } else {
+                current.put(new ResourceName(change.kind(), change.name()), change);
+            }
+        }
+        for (RecordedEdit edit : image.recorded()) {
+            recorded.put(edit.request(), edit);
+            recordedInOrder.addLast(edit);
+        }
+    }
+
+    /** A key is drawn anew for each attempt, so the digest takes no part in telling whether an edit is a resend. */
+    private static String fingerprint(PutResource edit) {
+        if (edit.kind() == ResourceKind.KEY && edit.body() != null) {
+            return "put key " + edit.expectedRevision() + " " + edit.body().path("organisation") + " "
+                    + edit.body().path("label");
+        }
+        return "put " + edit.kind() + " " + edit.name() + " " + edit.expectedRevision() + " " + edit.body();
+    }
+
+    private static EditReply conflict(ResourceChange existing, long have, long expected) {
+        return new EditReply(
+                EditOutcome.CONFLICT,
+                existing,
+                "the edit is based on revision " + expected + ", the resource is at revision " + have);
+    }
+
+    private ResourceChange change(ResourceName name, JsonNode body) {
+        revision++;
+        ResourceChange change = new ResourceChange(name.kind(), name.name(), revision, body);
+        ResourceChange before = body == null ? current.remove(name) : current.put(name, change);
+        if (before != null) {
+            byRevision.remove(before.revision());
+        }
+        byRevision.put(revision, change);
+        if (body == null) {
+            deletions.addLast(revision);
+            if (deletions.size() > MAX_DELETIONS) {
+                forgottenRevision = deletions.removeFirst();
+                byRevision.remove(forgottenRevision);
+            }
+        }
+        return change;
+    }
+
+    private EditReply record(long nowMillis, RequestId request, String fingerprint, EditReply reply) {
+        RecordedEdit edit = new RecordedEdit(request, nowMillis, fingerprint, reply);
+        recorded.put(request, edit);
+        recordedInOrder.addLast(edit);
+        return reply;
+    }
+
+    /** The name of a resource over all kinds. */
+    private record ResourceName(ResourceKind kind, String name) implements Comparable<ResourceName> {
+        @Override
+        public int compareTo(ResourceName other) {
+            int byKind = kind.compareTo(other.kind);
+            return byKind != 0 ? byKind : name.compareTo(other.name);
+        }
+    }
+
+    /**
+     * The recorded result of an edit.
+     *
+     * @param request the request id
+     * @param atMillis when it was applied, in leader time
+     * @param fingerprint tells a resend from another edit
+     * @param reply the result
+     */
+    public record RecordedEdit(RequestId request, long atMillis, String fingerprint, EditReply reply) {
+        EditReply replyTo(String otherFingerprint) {
+            return fingerprint.equals(otherFingerprint)
+                    ? reply
+                    : new EditReply(EditOutcome.INVALID, null, "the request id was used for another edit");
+        }
+    }
+
+    /**
+     * The table as values.
+     *
+     * @param revision the revision
+     * @param forgottenRevision the last deletion that is no longer listed
+     * @param changes the latest change of each resource, in order of revision
+     * @param recorded results of edits in order of time
+     */
+    public record ConfigurationImage(
+            long revision, long forgottenRevision, List<ResourceChange> changes, List<RecordedEdit> recorded) {}
+}
--- /dev/null
+++ b/control/src/main/java/org/cicadahead/state/ControlState.java
@@ -0,0 +1,203 @@
+package org.cicadahead.state;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import org.cicadahead.protocol.AbandonClaim;
+import org.cicadahead.protocol.AbandonStep;
+import org.cicadahead.protocol.BeginClaim;
+import org.cicadahead.protocol.BeginStep;
+import org.cicadahead.protocol.ClearSuspects;
+import org.cicadahead.protocol.Command;
+import org.cicadahead.protocol.CrashReport;
+import org.cicadahead.protocol.DeleteResource;
+import org.cicadahead.protocol.Done;
+import org.cicadahead.protocol.EndProgram;
+import org.cicadahead.protocol.FinishClaim;
+import org.cicadahead.protocol.FinishStep;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.protocol.OrphanClaims;
+import org.cicadahead.protocol.PutResource;
+import org.cicadahead.protocol.ReleaseClaim;
+import org.cicadahead.protocol.RenewSteps;
+import org.cicadahead.protocol.StartClaim;
+
+/**
+ * All replicated tables. Not safe for use by several threads.
+ *
+ * <p>The same commands at the same leader times give the same state and answers. Answers to {@link BeginStep} carry no
+ * history; the leader adds it from the history store. The first use is {@link #create(HistorySink)}.
+ */
+public final class ControlState {
+    private final Map<Class<? extends Command>, Step<Command>> steps = new HashMap<>();
+    private final ConfigurationTable configuration = new ConfigurationTable();
+    private final PoisonDigests poison = new PoisonDigests();
+    private final ProgramTable programs;
+    private final ClaimTable claims;
+    private long lastFence;
+    private long lastMillis;
+
+    private ControlState(HistorySink histories) {
+        Objects.requireNonNull(histories, "The history sink must not be null");
+        programs = new ProgramTable(this::nextFence, histories);
+        claims = new ClaimTable(this::nextFence);
+        on(PutResource.class, configuration::put);
+        on(DeleteResource.class, configuration::delete);
+        on(BeginStep.class, programs::begin);
+        on(RenewSteps.class, programs::renew);
+        on(FinishStep.class, programs::finish);
+        on(AbandonStep.class, programs::abandon);
+        on(EndProgram.class, programs::end);
+        on(BeginClaim.class, claims::begin);
+        on(StartClaim.class, claims::start);
+        on(FinishClaim.class, claims::finish);
+        on(ReleaseClaim.class, claims::release);
+        on(AbandonClaim.class, claims::abandon);
+        on(OrphanClaims.class, claims::orphan);
+        on(CrashReport.class, poison::report);
+        on(ClearSuspects.class, (now, command) -> poison.clear(command));
+    }
+
+    /**
+     * Returns empty tables.
+     *
+     * @param histories keeps the histories of programs
+     * @return the tables
+     * @throws NullPointerException if the sink is null
+     */
+    public static ControlState create(HistorySink histories) {
+        return new ControlState(histories);
+    }
+
+    /**
+     * Returns tables with the content of an image.
+     *
+     * @param histories keeps the histories of programs; the image does not contain them
+     * @param image the image
+     * @return the tables
+     * @throws NullPointerException if a value is null
+     */
+    public static ControlState from(HistorySink histories, StateImage image) {
+        ControlState state = new ControlState(histories);
+        state.lastFence = image.lastFence();
+        state.lastMillis = image.lastMillis();
+        state.configuration.restore(image.configuration());
+        state.programs.restore(image.programs());
+        state.claims.restore(image.claims());
+        state.poison.restore(image.poison());
+        return state;
+    }
+
+    /**
+     * Applies a command.
+     *
+     * @param leaderMillis the time at which the leader appended it, in milliseconds since the epoch
+     * @param command the command
+     * @return the answer to the proposer
+     * @throws HistoryException if the history cannot be kept
+     */
+    public Message apply(long leaderMillis, Command command) throws HistoryException {
+        lastMillis = Math.max(lastMillis, leaderMillis);
+        expire(lastMillis);
+        Step<Command> step = steps.get(command.getClass());
+        if (step == null) {
+            return Done.refused("the command " + command.getClass().getSimpleName() + " is not known");
+        }
+        return step.apply(lastMillis, command);
+    }
+
+    /**
+     * Returns whether the next command makes the tables forget something.
+     *
+     * @param nowMillis the present leader time
+     * @return true if so
+     */
+    public boolean hasExpired(long nowMillis) {
+        return configuration.hasExpired(nowMillis)
+                || programs.hasExpired(nowMillis)
+                || claims.hasExpired(nowMillis)
+                || poison.hasExpired(nowMillis);
+    }
+
+    /**
+     * Returns the time of the last command.
+     *
+     * @return the leader time in milliseconds since the epoch
+     */
+    public long lastMillis() {
+        return lastMillis;
+    }
+
+    /**
+     * Returns the configuration.
+     *
+     * @return the table
+     */
+    public ConfigurationTable configuration() {
+        return configuration;
+    }
+
+    /**
+     * Returns the programs.
+     *
+     * @return the table
+     */
+    public ProgramTable programs() {
+        return programs;
+    }
+
+    /**
+     * Returns the claims.
+     *
+     * @return the table
+     */
+    public ClaimTable claims() {
+        return claims;
+    }
+
+    /**
+     * Returns the poison digests.
+     *
+     * @return the table
+     */
+    public PoisonDigests poison() {
+        return poison;
+    }
+
+    /**
+     * Returns a copy of all tables as values.
+     *
+     * @return the image
+     */
+    public StateImage image() {
+        return new StateImage(
+                lastFence,
+                lastMillis,
+                configuration.image(),
+                programs.image(),
+                List.copyOf(claims.image()),
+                poison.image());
+    }
+
+    private long nextFence() {
+        return ++lastFence;
+    }
+
+    private void expire(long nowMillis) {
+        configuration.expire(nowMillis);
+        programs.expire(nowMillis);
+        claims.expire(nowMillis);
+        poison.expire(nowMillis);
+    }
+
+    private <C extends Command> void on(Class<C> type, Step<C> step) {
+        steps.put(type, (now, command) -> step.apply(now, type.cast(command)));
+    }
+
+    /** Applies one type of command. */
+    @FunctionalInterface
+    private interface Step<C extends Command> {
+        Message apply(long nowMillis, C command) throws HistoryException;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cicadahead/state/Program.java
@@ -0,0 +1,126 @@
+package org.cicadahead.state;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.cicadahead.model.ProgramKey;
+
+/** A program as the table keeps it. Mutable and owned by the table. */
+final class Program {
+    static final long NOT_ENDED = -1;
+
+    final ProgramKey key;
+    final Program parent;
+    final Program root;
+    final int depth;
+    final long budgetTokens;
+    final Set<ProgramKey> children = new TreeSet<>();
+    final StepMarks marks;
+    /** Fenced attempts that did not report what they used; their whole reservation counts as spent. */
+    final List<Attempt> unsettled = new ArrayList<>();
+
+    Attempt running;
+    long ownSpentTokens;
+    /** Of the program and its sub-agents; only kept by a root. */
+    long spentTokens;
+    /** Of the program and its sub-agents; only kept by a root. */
+    long reservedTokens;
+
+    long idleLimitMillis;
+    long touchedMillis;
+    /** When it ended in leader time, or {@link #NOT_ENDED}. */
+    long endedMillis = NOT_ENDED;
+
+    boolean historyDeleted;
+
+    Program(ProgramKey key, Program parent, long budgetTokens, StepMarks marks) {
+        this.key = key;
+        this.parent = parent;
+        this.root = parent == null ? this : parent.root;
+        this.depth = parent == null ? 0 : parent.depth + 1;
+        this.budgetTokens = parent == null ? budgetTokens : parent.root.budgetTokens;
+        this.marks = marks;
+    }
+
+    int nextStep() {
+        return marks.steps() + 1;
+    }
+
+    boolean isEnded() {
+        return endedMillis != NOT_ENDED;
+    }
+
+    long freeTokens() {
+        return root.budgetTokens - root.spentTokens - root.reservedTokens;
+    }
+
+    /** A parent is as busy as its sub-agents, as it waits for them. */
+    void touch(long nowMillis) {
+        for (Program at = this; at != null && !at.isEnded(); at = at.parent) {
+            at.touchedMillis = nowMillis;
+        }
+    }
+
+    boolean isIdle(long nowMillis) {
+        boolean held = running != null && running.untilMillis() > nowMillis;
+        return !isEnded() && !held && touchedMillis + idleLimitMillis <= nowMillis;
+    }
+
+    void reserve(Attempt attempt) {
+        running = attempt;
+        root.reservedTokens += attempt.reservedTokens();
+    }
+
+    /** Ends the running attempt with what it used. */
+    void settle(long usedTokens) {
+        root.reservedTokens -= running.reservedTokens();
+        charge(usedTokens);
+        running = null;
+    }
+
+    /** Fences the running attempt. What it uses is not known yet, so that its whole reservation counts as spent. */
+    void fence() {
+        if (running != null) {
+            Attempt lost = running;
+            settle(lost.reservedTokens());
+            if (lost.reservedTokens() > 0) {
+                unsettled.add(lost);
+            }
+        }
+    }
+
+    /** Corrects the charge of a fenced attempt that reports after all. */
+    boolean settleLate(long fence, long usedTokens) {
+        for (Attempt attempt : unsettled) {
+            if (attempt.fence() == fence) {
+                unsettled.remove(attempt);
+                charge(usedTokens - attempt.reservedTokens());
+                return true;
+            }
+        }
+        return false;
+    }
+
+    ProgramImage image() {
+        return new ProgramImage(
+                key,
+                parent == null ? null : parent.key,
+                budgetTokens,
+                marks.toArray(),
+                List.copyOf(unsettled),
+                running,
+                ownSpentTokens,
+                spentTokens,
+                reservedTokens,
+                idleLimitMillis,
+                touchedMillis,
+                endedMillis,
+                historyDeleted);
+    }
+
+    private void charge(long tokens) {
+        ownSpentTokens += tokens;
+        root.spentTokens += tokens;
+    }
+}
