Add the entry role: caller API, admission, endpoint choice, request flow

Cause: the entry module had only its configuration, so nothing could be called.

Change: a Jetty handler parses callers' requests and keeps the key out of them; each request is a flow on a serial executor (admission, step, claim, run, finish) whose not_run follows from a ledger of what is known at each stage; routing and admission are pure.

--- /dev/null
+++ b/entry/src/main/java/org/cicadahead/admission/Admission.java
@@ -0,0 +1,154 @@
+package org.cicadahead.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.cicadahead.model.OrganisationId;
+import org.cicadahead.protocol.Grant;
+import org.cicadahead.protocol.GrantLine;
+import org.cicadahead.protocol.GrantReply;
+
+/**
+ * Admits requests against the grants of the leader.
+ *
+ * <p>The user sends the lines of {@link #lines(long)} to the leader, one batch at a time, and hands back the answer
+ * with the time at which the batch was sent. Not safe for use by several threads. The first use is {@link #create()}.
+ */
+public final class Admission {
+    /** How long a request waits for a grant, in milliseconds. */
+    public static final long WAIT_MILLIS = 1_500;
+    /** How long a request waits for a grant across a change of the leader, in milliseconds. */
+    public static final long FAILOVER_WAIT_MILLIS = 3_000;
+
+    /** The least time between two batches in milliseconds when the leader had nothing to grant. */
+    static final long MIN_ASK_MILLIS = 20;
+    /** A closed grant that could not be reported is forgotten after this time, as it counts as spent by then. */
+    static final long FORGET_MILLIS = 5_000;
+
+    private final Map<OrganisationId, OrganisationQueue> queues = new HashMap<>();
+    private final Map<OrganisationId, Long> retryAt = new HashMap<>();
+    private long nextTicket;
+
+    private Admission() {}
+
+    /**
+     * Returns an admission without grants.
+     *
+     * @return the admission
+     */
+    public static Admission create() {
+        return new Admission();
+    }
+
+    /**
+     * Asks to admit a request.
+     *
+     * @param organisation the organisation
+     * @param ratePerSecond its rate, which bounds how many requests may wait
+     * @param nowMillis monotonic time in milliseconds
+     * @return empty if the request is admitted at once, else the ticket under which it waits
+     */
+    public OptionalLong request(OrganisationId organisation, double ratePerSecond, long nowMillis) {
+        OrganisationQueue queue = queues.computeIfAbsent(organisation, name -> new OrganisationQueue(name, nowMillis));
+        if (queue.tryAdmit(nowMillis)) {
+            return OptionalLong.empty();
+        }
+        long ticket = ++nextTicket;
+        queue.await(ticket, nowMillis);
+        return OptionalLong.of(ticket);
+    }
+
+    /**
+     * Withdraws a waiting request.
+     *
+     * @param organisation the organisation
+     * @param ticket the ticket
+     * @return true if it was still waiting
+     */
+    public boolean cancel(OrganisationId organisation, long ticket) {
+        OrganisationQueue queue = queues.get(organisation);
+        return queue != null && queue.cancel(ticket);
+    }
+
+    /**
+     * Returns the next batch to send to the leader. Its organisations take part in no other batch until {@link
+     * #answered} or {@link #unanswered} is called.
+     *
+     * @param nowMillis monotonic time in milliseconds, from which the validity of the grants is measured
+     * @return the lines; empty if there is nothing to ask or to report
+     */
+    public List<GrantLine> lines(long nowMillis) {
+        List<GrantLine> lines = new ArrayList<>();
+        queues.values().removeIf(queue -> queue.isIdle(nowMillis));
+        for (OrganisationQueue queue : queues.values()) {
+            if (queue.needsLine(nowMillis)) {
+                lines.add(queue.line(nowMillis));
+            }
+        }
+        return lines;
+    }
+
+    /**
+     * Takes the answer to a batch.
+     *
+     * @param lines the batch
+     * @param reply the answer
+     * @param sentMillis monotonic time in milliseconds at which the batch was sent
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void answered(List<GrantLine> lines, GrantReply reply, long sentMillis, long nowMillis) {
+        Map<OrganisationId, Grant> grants = new HashMap<>();
+        reply.grants().forEach(grant -> grants.put(grant.organisation(), grant));
+        for (GrantLine line : lines) {
+            Grant grant = grants.get(line.organisation());
+            OrganisationQueue queue = queues.get(line.organisation());
+            if (grant != null && line.wanted() > 0) {
+                retryAt.put(line.organisation(), nowMillis + grant.retryAfterMillis());
+            }
+            if (queue != null) {
+                queue.answered(line, grant, sentMillis + reply.validMillis(), nowMillis);
+            }
+        }
+    }
+
+    /**
+     * Takes note that a batch got no answer; what it reported is reported again.
+     *
+     * @param lines the batch
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void unanswered(List<GrantLine> lines, long nowMillis) {
+        for (GrantLine line : lines) {
+            OrganisationQueue queue = queues.get(line.organisation());
+            if (queue != null) {
+                queue.unanswered(nowMillis);
+            }
+        }
+    }
+
+    /**
+     * Decides on waiting requests, those of an organisation in their order.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     * @return the requests that no longer wait
+     */
+    public List<Admitted> decide(long nowMillis) {
+        List<Admitted> decided = new ArrayList<>();
+        queues.forEach((organisation, queue) -> {
+            long after = Math.max(0, retryAt.getOrDefault(organisation, nowMillis) - nowMillis);
+            queue.decide(decided, after, nowMillis);
+        });
+        return decided;
+    }
+
+    /**
+     * Returns how many requests wait.
+     *
+     * @return the number
+     */
+    public int waiting() {
+        return queues.values().stream().mapToInt(OrganisationQueue::waiting).sum();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cicadahead/caller/CallerRequest.java
@@ -0,0 +1,60 @@
+package org.cicadahead.caller;
+
+import java.util.Map;
+import org.cicadahead.model.IdempotencyKey;
+import org.cicadahead.model.KeyDigest;
+import org.cicadahead.model.ProgramId;
+import org.cicadahead.model.RequestId;
+import org.cicadahead.model.RouteName;
+
+/**
+ * A request as a caller sent it, without its key. Immutable.
+ *
+ * @param id identifies the request in logs and answers
+ * @param kind what the caller asks for
+ * @param key the digest of the caller's key, or null if it sent none
+ * @param method the HTTP method
+ * @param route the route of a service call, else null
+ * @param path the path with query to call at a service, else null
+ * @param target the program to read or end, else null
+ * @param program the program that the request is a step of, or null
+ * @param parent its parent program, or null
+ * @param step the step, or 0 without a program
+ * @param end true if the program ends with this step
+ * @param idempotencyKey the idempotency key, or null
+ * @param headers the headers to forward, in lower case
+ * @param body the body
+ */
+public record CallerRequest(
+        RequestId id,
+        Kind kind,
+        KeyDigest key,
+        String method,
+        RouteName route,
+        String path,
+        ProgramId target,
+        ProgramId program,
+        ProgramId parent,
+        int step,
+        boolean end,
+        IdempotencyKey idempotencyKey,
+        Map<String, String> headers,
+        byte[] body) {
+
+    /** What a caller asks for. */
+    public enum Kind {
+        /** A chat completion. */
+        CHAT,
+        /** A call of a plain service. */
+        SERVICE,
+        /** The history of a program. */
+        READ_PROGRAM,
+        /** The end of a program. */
+        END_PROGRAM
+    }
+
+    /** Copies the headers. */
+    public CallerRequest {
+        headers = Map.copyOf(headers);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cicadahead/caller/Problems.java
@@ -0,0 +1,31 @@
+package org.cicadahead.caller;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+
+/** Writes refusals as RFC 9457 problem documents. */
+final class Problems {
+    static final String CONTENT_TYPE = "application/problem+json";
+
+    private Problems() {}
+
+    static byte[] document(Refusal refusal) {
+        return json(refusal).toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    static byte[] event(Refusal refusal) {
+        return ("event: error\ndata: " + json(refusal) + "\n\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static ObjectNode json(Refusal refusal) {
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        json.put("type", "urn:cicadahead:refusal:" + refusal.reason().code());
+        json.put("title", refusal.reason().title());
+        json.put("status", refusal.reason().status());
+        json.put("detail", refusal.detail());
+        json.put("reason", refusal.reason().code());
+        json.put("not_run", refusal.notRun());
+        return json;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cicadahead/caller/RefusalException.java
@@ -0,0 +1,30 @@
+package org.cicadahead.caller;
+
+import org.cicadahead.model.RefusalReason;
+
+/** A request is refused before anything was done that could run it. */
+public final class RefusalException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    private final transient Refusal refusal;
+
+    /**
+     * Creates an exception.
+     *
+     * @param reason the reason
+     * @param detail a sentence for people
+     */
+    public RefusalException(RefusalReason reason, String detail) {
+        super(detail, null, false, false);
+        this.refusal = Refusal.before(reason, detail);
+    }
+
+    /**
+     * Returns the refusal.
+     *
+     * @return the refusal
+     */
+    public Refusal refusal() {
+        return refusal;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cicadahead/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP API towards callers. */
+package org.cicadahead.caller;
--- /dev/null
+++ b/entry/src/main/java/org/cicadahead/entry/BodyCollector.java
@@ -0,0 +1,43 @@
+package org.cicadahead.entry;
+
+import java.io.ByteArrayOutputStream;
+import org.cicadahead.protocol.RunEnd;
+
+/** Collects an answer that is not streamed. */
+final class BodyCollector implements AnswerCollector {
+    /** As much as one message between processes can hold, so that the answer can be recorded. */
+    private static final int MAX_BYTES = 12 * 1024 * 1024;
+
+    private static final byte[] NOTHING = new byte[0];
+
+    private final boolean chat;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+    BodyCollector(boolean chat) {
+        this.chat = chat;
+    }
+
+    @Override
+    public byte[] accept(byte[] data) throws AnswerException {
+        if (body.size() + data.length > MAX_BYTES) {
+            throw new AnswerException("the answer is larger than " + MAX_BYTES + " bytes");
+        }
+        body.writeBytes(data);
+        return NOTHING;
+    }
+
+    @Override
+    public RecordedAnswer finish(RunEnd end) throws AnswerException {
+        RecordedAnswer answer = new RecordedAnswer(
+                chat && RecordedAnswer.isSuccess(end.status()), end.status(), end.contentType(), body.toByteArray());
+        if (answer.chat() && answer.message() == null) {
+            throw new AnswerException("the answer is not a chat completion");
+        }
+        return answer;
+    }
+
+    @Override
+    public long bytes() {
+        return body.size();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cicadahead/entry/ChatWork.java
@@ -0,0 +1,156 @@
+package org.cicadahead.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.cicadahead.caller.CallerRequest;
+import org.cicadahead.caller.RefusalException;
+import org.cicadahead.model.RefusalReason;
+import org.cicadahead.model.RequestDigest;
+import org.cicadahead.model.Route;
+import org.cicadahead.model.RouteName;
+import org.cicadahead.protocol.HistoryRecord;
+
+/** A chat completion. */
+final class ChatWork implements Work {
+    private static final String PATH = "/v1/chat/completions";
+    private static final long DEFAULT_MAX_TOKENS = 4_096;
+    /** No tokenizer of the served models yields more than one token for three bytes of JSON text on average. */
+    private static final long BYTES_PER_TOKEN = 3;
+
+    private final ObjectNode body;
+    private final ArrayNode messages;
+    private final boolean stream;
+    private final long maxTokens;
+    private final RequestDigest digest;
+
+    private ChatWork(ObjectNode body, ArrayNode messages, boolean stream, long maxTokens, RequestDigest digest) {
+        this.body = body;
+        this.messages = messages;
+        this.stream = stream;
+        this.maxTokens = maxTokens;
+        this.digest = digest;
+    }
+
+    /** Parses a body; the model of the route is set by {@link #forRoute(Route)}. */
+    static ChatWork parse(CallerRequest request) throws RefusalException {
+        JsonNode parsed;
+        try {
+            parsed = Json.read(request.body());
+        } catch (IOException e) {
+            throw malformed("The body is not valid JSON");
+        }
+        if (!(parsed instanceof ObjectNode object)) {
+            throw malformed("The body must be a JSON object");
+        }
+        if (!(object.get("messages") instanceof ArrayNode messages) || !onlyObjects(messages)) {
+            throw malformed("messages must be an array of objects");
+        }
+        JsonNode stream = object.path("stream");
+        if (!stream.isMissingNode() && !stream.isNull() && !stream.isBoolean()) {
+            throw malformed("stream must be true or false");
+        }
+        ObjectNode compared = object.deepCopy();
+        compared.remove(List.of("stream", "stream_options"));
+        RequestDigest digest = Json.digest(Json.write(Json.canonical(compared)));
+        return new ChatWork(object, messages, stream.asBoolean(false), maxTokens(object), digest);
+    }
+
+    /** Returns the route that the model field names. */
+    RouteName route() throws RefusalException {
+        JsonNode model = body.path("model");
+        if (!model.isTextual()) {
+            throw malformed("model must name a route");
+        }
+        try {
+            return RouteName.of(model.textValue());
+        } catch (IllegalArgumentException e) {
+            throw new RefusalException(RefusalReason.ROUTE_UNKNOWN, "model does not name a route");
+        }
+    }
+
+    ChatWork forRoute(Route route) {
+        ObjectNode copy = body.deepCopy();
+        copy.put("model", route.model());
+        if (!copy.hasNonNull("max_tokens") && !copy.hasNonNull("max_completion_tokens")) {
+            copy.put("max_tokens", maxTokens);
+        }
+        return new ChatWork(copy, messages, stream, maxTokens, digest);
+    }
+
+    @Override
+    public RequestDigest digest() {
+        return digest;
+    }
+
+    @Override
+    public boolean isStream() {
+        return stream;
+    }
+
+    @Override
+    public long maxTokens() {
+        return maxTokens;
+    }
+
+    @Override
+    public AnswerCollector collector() {
+        return stream ? new EventCollector() : new BodyCollector(true);
+    }
+
+    @Override
+    public Call call(List<HistoryRecord> history) {
+        ArrayNode recorded = History.messages(history);
+        ArrayNode fresh = History.withoutRecorded(recorded, messages);
+        ObjectNode copy = body.deepCopy();
+        recorded.addAll(fresh);
+        copy.set("messages", recorded);
+        byte[] bytes = Json.write(copy);
+        return new Call(
+                "POST",
+                PATH,
+                Map.of("content-type", "application/json"),
+                bytes,
+                Json.write(fresh),
+                tokens(bytes.length));
+    }
+
+    static long tokens(long bytes) {
+        return (bytes + BYTES_PER_TOKEN - 1) / BYTES_PER_TOKEN;
+    }
+
+    static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static long maxTokens(ObjectNode body) throws RefusalException {
+        for (String name : List.of("max_tokens", "max_completion_tokens")) {
+            JsonNode value = body.path(name);
+            if (value.isMissingNode() || value.isNull()) {
+                continue;
+            }
+            if (!value.isIntegralNumber() || !value.canConvertToInt() || value.intValue() < 1) {
+                throw malformed(name + " must be a positive integer");
+            }
+            return value.longValue();
+        }
+        return DEFAULT_MAX_TOKENS;
+    }
+
+    private static boolean onlyObjects(ArrayNode messages) {
+        for (JsonNode message : messages) {
+            if (!message.isObject()) {
+                return false;
+            }
+        }
+        return !messages.isEmpty();
+    }
+
+    private static RefusalException malformed(String detail) {
+        return new RefusalException(RefusalReason.REQUEST_MALFORMED, detail);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cicadahead/entry/EndpointDirectory.java
@@ -0,0 +1,99 @@
+package org.cicadahead.entry;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+import org.cicadahead.model.EndpointId;
+import org.cicadahead.model.ProgramKey;
+import org.cicadahead.model.ZoneName;
+import org.cicadahead.protocol.Announcement;
+import org.cicadahead.protocol.EndpointLoad;
+import org.cicadahead.protocol.EndpointsDelta;
+import org.cicadahead.protocol.MessageCatalog;
+import org.cicadahead.routing.ChoiceRequest;
+import org.cicadahead.routing.EndpointChooser;
+import org.cicadahead.routing.RetryBudget;
+import org.cicadahead.wire.PeerClient;
+
+/** The endpoints with their connections. Safe for use by several threads; its monitor is a leaf. */
+final class EndpointDirectory {
+    /** Retries are limited to this share of the requests. */
+    private static final double RETRY_SHARE = 0.2;
+
+    private static final double MIN_RETRIES_PER_SECOND = 10;
+
+    private final EndpointChooser chooser;
+    private final RetryBudget retries = RetryBudget.create(RETRY_SHARE, MIN_RETRIES_PER_SECOND);
+    private final Map<String, PeerClient> peers = new ConcurrentHashMap<>();
+    private final LongSupplier clock;
+
+    EndpointDirectory(ZoneName zone, LongSupplier clock) {
+        this.chooser = EndpointChooser.create(zone, new SplittableRandom());
+        this.clock = clock;
+    }
+
+    synchronized void apply(EndpointsDelta delta) {
+        chooser.apply(delta, clock.getAsLong());
+    }
+
+    synchronized long epoch() {
+        return chooser.epoch();
+    }
+
+    synchronized long version() {
+        return chooser.version();
+    }
+
+    synchronized Optional<Announcement> choose(ChoiceRequest request) {
+        return chooser.choose(request, clock.getAsLong());
+    }
+
+    synchronized void report(EndpointId endpoint, EndpointLoad load) {
+        chooser.report(endpoint, load, clock.getAsLong());
+    }
+
+    synchronized void completed(EndpointId endpoint, ProgramKey program, ProgramKey root, long tokens) {
+        chooser.completed(endpoint, program, root, tokens);
+    }
+
+    synchronized void failed(EndpointId endpoint, boolean fault) {
+        chooser.failed(endpoint, fault, clock.getAsLong());
+    }
+
+    synchronized List<Announcement> stale(long maxAgeMillis, int limit) {
+        return chooser.stale(maxAgeMillis, limit, clock.getAsLong());
+    }
+
+    synchronized void countRequest() {
+        retries.request();
+    }
+
+    synchronized boolean tryRetry() {
+        return retries.tryRetry(clock.getAsLong());
+    }
+
+    /** Returns the connection to an endpoint daemon, or null if its address is not valid. */
+    PeerClient peer(String address) {
+        int colon = address.lastIndexOf(':');
+        if (colon <= 0) {
+            return null;
+        }
+        try {
+            int port = Integer.parseInt(address.substring(colon + 1));
+            return peers.computeIfAbsent(
+                    address,
+                    key -> PeerClient.to(
+                            new InetSocketAddress(key.substring(0, colon), port), MessageCatalog.standard()));
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+
+    void close() {
+        peers.values().forEach(PeerClient::close);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cicadahead/entry/RecordedAnswer.java
@@ -0,0 +1,91 @@
+package org.cicadahead.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.Map;
+
+/**
+ * An answer as it is recorded in the history of a program. Immutable.
+ *
+ * @param chat true for a chat completion, whose body is a completion object even if it was streamed
+ * @param status the HTTP status
+ * @param contentType the content type
+ * @param body the body
+ */
+record RecordedAnswer(boolean chat, int status, String contentType, byte[] body) {
+
+    RecordedAnswer {
+        contentType = contentType == null || contentType.isEmpty() ? "application/json" : contentType;
+    }
+
+    static boolean isSuccess(int status) {
+        return status >= 200 && status < 300;
+    }
+
+    static RecordedAnswer decode(byte[] bytes) throws IOException {
+        JsonNode json = Json.read(bytes);
+        JsonNode body = json.path("body");
+        return new RecordedAnswer(
+                json.path("chat").asBoolean(),
+                json.path("status").asInt(),
+                json.path("content_type").asText(),
+                body.isTextual() ? body.binaryValue() : Json.write(body));
+    }
+
+    /** Returns the recorded form: chat completions as JSON, other bodies in base64. */
+    byte[] encode() {
+        ObjectNode json = Json.object();
+        json.put("chat", chat);
+        json.put("status", status);
+        json.put("content_type", contentType);
+        JsonNode completion = completion();
+        if (completion == null) {
+            json.put("body", body);
+        } else {
+            json.set("body", completion);
+        }
+        return Json.write(json);
+    }
+
+    /** Returns the message of a chat completion, or null if there is none. */
+    ObjectNode message() {
+        JsonNode completion = completion();
+        if (completion == null) {
+            return null;
+        }
+        JsonNode message = completion.path("choices").path(0).path("message");
+        return message instanceof ObjectNode object ? object : null;
+    }
+
+    /** Returns the completion as the events of a stream, without the last one. */
+    byte[] events() {
+        ObjectNode chunk = ((ObjectNode) completion()).deepCopy();
+        chunk.put("object", "chat.completion.chunk");
+        ArrayNode choices = Json.array();
+        for (JsonNode choice : chunk.path("choices")) {
+            ObjectNode copy = choice.deepCopy();
+            copy.set("delta", copy.remove("message"));
+            choices.add(copy);
+        }
+        chunk.set("choices", choices);
+        return ChatWork.bytes("data: " + chunk + "\n\n");
+    }
+
+    Map<String, String> headers() {
+        return Map.of("Content-Type", contentType);
+    }
+
+    private JsonNode completion() {
+        if (!chat) {
+            return null;
+        }
+        try {
+            JsonNode json = Json.read(body);
+            return json.isObject() ? json : null;
+        } catch (IOException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cicadahead/entry/RetryPolicy.java
@@ -0,0 +1,62 @@
+package org.cicadahead.entry;
+
+import java.util.EnumSet;
+import java.util.HashSet;
+import java.util.Set;
+import org.cicadahead.model.EndpointId;
+import org.cicadahead.model.RefusalReason;
+
+/** Whether one request may be tried at another endpoint. Not safe for use by several threads. */
+final class RetryPolicy {
+    private static final int MAX_RETRIES = 3;
+    /** Two endpoints that failed under a request may have crashed because of it; a third must not follow. */
+    private static final int MAX_CRASHES = 2;
+
+    private static final Set<RefusalReason> RETRIED = EnumSet.of(
+            RefusalReason.ENDPOINT_LEAVING,
+            RefusalReason.ENDPOINT_OVERLOADED,
+            RefusalReason.ENDPOINT_FAILED,
+            RefusalReason.ENDPOINT_LOST,
+            RefusalReason.ANSWER_INCOMPLETE,
+            RefusalReason.DEADLINE_UNREACHABLE,
+            RefusalReason.CONFIGURATION_LEASE_EXPIRED,
+            RefusalReason.CONTROL_UNAVAILABLE,
+            RefusalReason.CLAIM_FENCED,
+            RefusalReason.NO_ENDPOINT,
+            RefusalReason.SHUTTING_DOWN);
+    private static final Set<RefusalReason> FAULTS = EnumSet.of(
+            RefusalReason.ENDPOINT_FAILED,
+            RefusalReason.ENDPOINT_LOST,
+            RefusalReason.ANSWER_INCOMPLETE,
+            RefusalReason.CONFIGURATION_LEASE_EXPIRED);
+
+    private final Set<EndpointId> failed = new HashSet<>();
+    private final Set<EndpointId> crashed = new HashSet<>();
+    private int retries;
+
+    /** Returns whether a reason counts against the endpoint. */
+    static boolean isFault(RefusalReason reason) {
+        return FAULTS.contains(reason);
+    }
+
+    /** Returns whether control knows nothing that an endpoint's refusal of a claimed request does not tell. */
+    static boolean isFinal(RefusalReason reason) {
+        return reason == RefusalReason.OUTCOME_UNKNOWN || reason == RefusalReason.REQUEST_POISONOUS;
+    }
+
+    boolean allows(EndpointRun.Failure failure, EndpointId endpoint) {
+        failed.add(endpoint);
+        if (failure.reason() == RefusalReason.ENDPOINT_FAILED && !failure.notRun()) {
+            crashed.add(endpoint);
+        }
+        return RETRIED.contains(failure.reason()) && crashed.size() < MAX_CRASHES && retries++ < MAX_RETRIES;
+    }
+
+    Set<EndpointId> failed() {
+        return failed;
+    }
+
+    Set<EndpointId> crashed() {
+        return crashed;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cicadahead/entry/SyncLoop.java
@@ -0,0 +1,104 @@
+package org.cicadahead.entry;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cicadahead.model.EndpointId;
+import org.cicadahead.protocol.Announcement;
+import org.cicadahead.protocol.DaemonInfo;
+import org.cicadahead.protocol.Ping;
+import org.cicadahead.protocol.Pong;
+import org.cicadahead.protocol.Sync;
+import org.cicadahead.protocol.SyncReply;
+import org.cicadahead.wire.PeerClient;
+import org.jboss.logging.Logger;
+
+/** Keeps the replica, the endpoint table and the lease current. Safe for use by several threads. */
+final class SyncLoop {
+    /** How often the entry syncs, in milliseconds. */
+    static final long INTERVAL_MILLIS = 500;
+
+    private static final Logger LOG = Logger.getLogger("cicadahead.entry");
+    /** An answer that takes longer than the lease is useless. */
+    private static final long TIMEOUT_MILLIS = 2_000;
+    /** A replica that hangs must not stop the next sync, but calls must not pile up either. */
+    private static final int MAX_IN_FLIGHT = 4;
+    /** An endpoint whose load was not reported for this time, in milliseconds, is asked. */
+    private static final long STALE_LOAD_MILLIS = 2_000;
+
+    private static final int MAX_PINGS = 4;
+
+    private final DaemonInfo daemon;
+    private final EntryContext context;
+    private final AtomicInteger inFlight = new AtomicInteger();
+    private boolean leased;
+
+    SyncLoop(DaemonInfo daemon, EntryContext context) {
+        this.daemon = daemon;
+        this.context = context;
+    }
+
+    /** Sends a sync. */
+    void tick() {
+        if (inFlight.incrementAndGet() > MAX_IN_FLIGHT) {
+            inFlight.decrementAndGet();
+            return;
+        }
+        long sentMillis = context.nowMillis();
+        Sync sync = new Sync(
+                daemon,
+                context.replica().revision(),
+                context.endpoints().epoch(),
+                context.endpoints().version(),
+                -1,
+                context.replica().poisonVersion(),
+                null,
+                null);
+        context.control()
+                .call(sync, SyncReply.class, TIMEOUT_MILLIS)
+                .whenCompleteAsync(
+                        (reply, failure) -> {
+                            inFlight.decrementAndGet();
+                            if (failure == null) {
+                                apply(reply, sentMillis);
+                            }
+                        },
+                        context.workers());
+        ping();
+    }
+
+    /** Ends requests of keyed routes when the lease has expired. */
+    synchronized void checkLease() {
+        boolean now = context.isLeased();
+        if (leased && !now) {
+            LOG.warn("entry: The configuration lease has expired");
+            context.flows().forEach(RequestFlow::check);
+        } else if (!leased && now) {
+            LOG.info("entry: The configuration lease is held");
+        }
+        leased = now;
+    }
+
+    private void apply(SyncReply reply, long sentMillis) {
+        boolean changed = context.replica().apply(reply, sentMillis);
+        if (reply.endpoints() != null) {
+            context.endpoints().apply(reply.endpoints());
+        }
+        if (changed) {
+            context.flows().forEach(RequestFlow::check);
+        }
+        checkLease();
+    }
+
+    private void ping() {
+        for (Announcement announcement : context.endpoints().stale(STALE_LOAD_MILLIS, MAX_PINGS)) {
+            PeerClient peer = context.endpoints().peer(announcement.address());
+            EndpointId endpoint = announcement.endpoint();
+            if (peer != null) {
+                peer.call(new Ping(daemon.id()), INTERVAL_MILLIS).thenAccept(reply -> {
+                    if (reply instanceof Pong pong) {
+                        context.endpoints().report(endpoint, pong.load());
+                    }
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cicadahead/entry/Target.java
@@ -0,0 +1,66 @@
+package org.cicadahead.entry;
+
+import org.cicadahead.caller.CallerRequest;
+import org.cicadahead.caller.RefusalException;
+import org.cicadahead.model.Key;
+import org.cicadahead.model.KeyDigest;
+import org.cicadahead.model.Organisation;
+import org.cicadahead.model.OrganisationId;
+import org.cicadahead.model.Pool;
+import org.cicadahead.model.RefusalReason;
+import org.cicadahead.model.Route;
+import org.cicadahead.model.RouteName;
+
+/**
+ * For whom and where a request runs. Immutable.
+ *
+ * @param route the route
+ * @param pool its pool
+ * @param organisation the organisation, {@code open} for callers without a key
+ * @param limits the organisation's limits, or null if there are none for callers without a key
+ * @param key the digest of the key, or null
+ */
+record Target(Route route, Pool pool, OrganisationId organisation, Organisation limits, KeyDigest key) {
+    private static final OrganisationId OPEN = OrganisationId.of("open");
+
+    /** Finds the target of a request that runs on an endpoint. */
+    static Target of(ConfigurationReplica replica, CallerRequest request, RouteName name) throws RefusalException {
+        Organisation organisation = request.key() == null ? null : organisation(replica, request.key());
+        Route route = replica.route(name).orElse(null);
+        if (organisation == null && (route == null || !route.open())) {
+            throw keyInvalid();
+        }
+        if (route == null) {
+            throw new RefusalException(RefusalReason.ROUTE_UNKNOWN, "There is no route " + name);
+        }
+        if (!route.open() && !route.allows(organisation.name())) {
+            throw new RefusalException(RefusalReason.ROUTE_FORBIDDEN, "The organisation may not use route " + name);
+        }
+        boolean chat = request.kind() == CallerRequest.Kind.CHAT;
+        if (chat != route.target().cachesPrefixes()) {
+            throw new RefusalException(RefusalReason.ROUTE_UNKNOWN, "The route does not serve this kind of request");
+        }
+        Pool pool = replica.pool(route.pool())
+                .orElseThrow(() -> new RefusalException(
+                        RefusalReason.POOL_UNKNOWN, "The pool of route " + name + " does not exist"));
+        if (organisation == null) {
+            return new Target(route, pool, OPEN, replica.organisation(OPEN).orElse(null), null);
+        }
+        return new Target(route, pool, organisation.name(), organisation, request.key());
+    }
+
+    /** Finds the organisation of a key. */
+    static Organisation organisation(ConfigurationReplica replica, KeyDigest digest) throws RefusalException {
+        Key key = digest == null ? null : replica.key(digest).orElse(null);
+        Organisation organisation =
+                key == null ? null : replica.organisation(key.organisation()).orElse(null);
+        if (organisation == null) {
+            throw keyInvalid();
+        }
+        return organisation;
+    }
+
+    private static RefusalException keyInvalid() {
+        return new RefusalException(RefusalReason.KEY_INVALID, "");
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cicadahead/routing/RetryBudget.java
@@ -0,0 +1,65 @@
+package org.cicadahead.routing;
+
+/**
+ * Limits retries to a share of the requests, so that retries cannot multiply the load of a failing pool.
+ *
+ * <p>Not safe for use by several threads. The first use is {@link #create(double, double)}.
+ */
+public final class RetryBudget {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final double share;
+    private final double minPerSecond;
+    private double tokens;
+    private long refilledAtMillis = Long.MIN_VALUE;
+
+    private RetryBudget(double share, double minPerSecond) {
+        this.share = share;
+        this.minPerSecond = minPerSecond;
+        this.tokens = minPerSecond;
+    }
+
+    /**
+     * Returns a budget.
+     *
+     * @param share retries allowed for each request, from 0 to 1
+     * @param minPerSecond retries a second that are always allowed
+     * @return the budget
+     * @throws IllegalArgumentException if a number is out of range
+     */
+    public static RetryBudget create(double share, double minPerSecond) {
+        if (!(share >= 0 && share <= 1) || !(minPerSecond >= 0)) {
+            throw new IllegalArgumentException("The share must be from 0 to 1 and the minimum must not be negative");
+        }
+        return new RetryBudget(share, minPerSecond);
+    }
+
+    /** Counts a request that is not a retry. */
+    public void request() {
+        tokens = Math.min(tokens + share, limit());
+    }
+
+    /**
+     * Takes a retry from the budget.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     * @return true if the retry is allowed
+     */
+    public boolean tryRetry(long nowMillis) {
+        if (refilledAtMillis != Long.MIN_VALUE && nowMillis > refilledAtMillis) {
+            double refill = minPerSecond * (nowMillis - refilledAtMillis) / MILLIS_PER_SECOND;
+            tokens = Math.max(tokens, Math.min(tokens + refill, minPerSecond));
+        }
+        refilledAtMillis = Math.max(refilledAtMillis, nowMillis);
+        if (tokens < 1) {
+            return false;
+        }
+        tokens--;
+        return true;
+    }
+
+    /** Saved retries are bounded, so that a long quiet time does not allow a burst of retries. */
+    private double limit() {
+        return Math.max(minPerSecond, 1) * 10;
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/cicadahead/entry/EntryNodeTest.java
@@ -0,0 +1,93 @@
+package org.cicadahead.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpResponse;
+import org.cicadahead.protocol.FinishStep;
+import org.cicadahead.protocol.RunRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards the path of requests without faults. */
+class EntryNodeTest {
+    private Fixture fixture;
+
+    @BeforeEach
+    void start() throws Exception {
+        fixture = new Fixture();
+    }
+
+    @AfterEach
+    void stop() {
+        fixture.close();
+    }
+
+    @Test
+    void answersAChatCompletion() throws Exception {
+        HttpResponse<String> response = fixture.chat(Fixture.chat("plan", false, "Hi"));
+        assertThat(response.statusCode()).isEqualTo(200);
+        assertThat(response.body()).contains("Hello");
+        assertThat(response.headers().firstValue("Cicadahead-Endpoint")).hasValue("e1");
+        assertThat(response.headers().firstValue("Cicadahead-Request")).isPresent();
+    }
+
+    @Test
+    void streamsAChatCompletion() throws Exception {
+        HttpResponse<String> response = fixture.chat(Fixture.chat("plan", true, "Hi"));
+        assertThat(response.statusCode()).isEqualTo(200);
+        assertThat(response.body())
+                .isEqualTo(FakeEndpoint.event("Hel") + FakeEndpoint.event("lo") + "data: [DONE]\n\n");
+    }
+
+    @Test
+    void recordsStepsAndPrependsTheHistory() throws Exception {
+        for (boolean stream : new boolean[] {false, true}) {
+            String program = "p" + stream;
+            fixture.chat(Fixture.chat("plan", stream, "one"), "Cicadahead-Program", program, "Cicadahead-Step", "1");
+            fixture.chat(Fixture.chat("plan", stream, "two"), "Cicadahead-Program", program, "Cicadahead-Step", "2");
+            RunRequest run = fixture.engine.runs.get(fixture.engine.runs.size() - 1);
+            JsonNode messages = Json.read(run.body()).path("messages");
+            assertThat(messages.toString())
+                    .isEqualTo(
+                            "[{\"role\":\"user\",\"content\":\"one\"},{\"role\":\"assistant\",\"content\":\"Hello\"},"
+                                    + "{\"role\":\"user\",\"content\":\"two\"}]");
+        }
+        assertThat(fixture.control.received(FinishStep.class)).hasSize(4);
+    }
+
+    @Test
+    void replaysAFinishedStepWithoutRunningIt() throws Exception {
+        String[] headers = {"Cicadahead-Program", "p", "Cicadahead-Step", "1"};
+        fixture.chat(Fixture.chat("plan", false, "one"), headers);
+        HttpResponse<String> whole = fixture.chat(Fixture.chat("plan", false, "one"), headers);
+        HttpResponse<String> stream = fixture.chat(Fixture.chat("plan", true, "one"), headers);
+        assertThat(whole.headers().firstValue("Cicadahead-Replayed")).hasValue("true");
+        assertThat(whole.body()).contains("Hello");
+        assertThat(stream.body()).contains("\"delta\":{\"role\":\"assistant\",\"content\":\"Hello\"}");
+        assertThat(stream.body()).endsWith("data: [DONE]\n\n");
+        assertThat(fixture.engine.runs).hasSize(1);
+    }
+
+    @Test
+    void callsAServiceUnderAClaim() throws Exception {
+        HttpResponse<String> response = fixture.book("k1");
+        assertThat(response.statusCode()).isEqualTo(200);
+        assertThat(response.body()).isEqualTo("booked");
+        RunRequest run = fixture.service.runs.get(0);
+        assertThat(run.path()).isEqualTo("/seat");
+        assertThat(run.claim().fence()).isEqualTo(1);
+        assertThat(run.headers()).containsEntry("idempotency-key", "k1");
+    }
+
+    @Test
+    void readsAndEndsAProgram() throws Exception {
+        fixture.chat(Fixture.chat("plan", false, "one"), "Cicadahead-Program", "p", "Cicadahead-Step", "1");
+        JsonNode program = Fixture.json(fixture.send(fixture.to("/v1/programs/p")));
+        assertThat(program.path("next_step").asInt()).isEqualTo(2);
+        assertThat(program.path("messages").size()).isEqualTo(2);
+        assertThat(fixture.send(fixture.to("/v1/programs/p").DELETE()).statusCode())
+                .isEqualTo(204);
+    }
+}
