Connect the control and entry facades; fit cicadactl to the admin API

504 means that an edit may be committed, so that it is resent with the same Request-Id; 409 is a conflict only if its reason says so.

--- a/ctl/src/main/java/org/cicadahead/ctl/AdminClient.java
+++ b/ctl/src/main/java/org/cicadahead/ctl/AdminClient.java
@@ -7,6 +7,7 @@
 import java.io.Closeable;
 import java.net.URI;
 import java.util.Map;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -24,8 +25,8 @@
 /**
  * Calls the admin API of whichever replica leads control. For use by one thread.
  *
- * <p>A request is repeated at the next address after a failed connection, silence or a 503, and at the named address
- * after a 307. All attempts carry the same {@code Request-Id}, so that an edit takes effect once.
+ * <p>A request is repeated at the next address after a failed connection, silence, a 503 or a 504, and at the
+ * named address after a 307. All attempts carry the same {@code Request-Id}, so that an edit takes effect once.
  */
 final class AdminClient implements Closeable {
     /** One attempt is given up after this time, in milliseconds, as its replica may be cut off. */
@@ -35,7 +36,8 @@
     private static final int MAX_REDIRECTS = 4;
     private static final int MAX_THREADS = 8;
     private static final int REDIRECT = 307;
-    private static final int UNAVAILABLE = 503;
+    /** 503 means that there is no leader; after 504 the edit may be committed, and a resend tells. */
+    private static final Set<Integer> RETRIED = Set.of(REDIRECT, 503, 504);
 
     private final HttpClient http;
     private final CtlSettings settings;
@@ -102,11 +104,11 @@
                             .resolve("/");
                     continue;
                 }
-                if (response.getStatus() != UNAVAILABLE && response.getStatus() != REDIRECT) {
+                if (!RETRIED.contains(response.getStatus())) {
                     preferred = base;
                     return reply(response);
                 }
-                lastFailure = base + " has no leader";
+                lastFailure = base + " answers with status " + response.getStatus();
             } catch (ExecutionException | TimeoutException e) {
                 lastFailure = base + " does not answer";
             } catch (InterruptedException e) {
--- a/ctl/src/main/java/org/cicadahead/ctl/AdminReply.java
+++ b/ctl/src/main/java/org/cicadahead/ctl/AdminReply.java
@@ -13,6 +13,9 @@
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
     private static final int PRECONDITION_FAILED = 412;
+    /** Other reasons with the same status, such as an ambiguous prefix, are plain refusals. */
+    private static final String CONFLICT_REASON = "conflict";
+
     private static final int MIN_ERROR = 400;
 
     boolean isNotFound() {
@@ -24,7 +27,9 @@
         if (status < MIN_ERROR) {
             return this;
         }
-        boolean conflict = status == CONFLICT || status == PRECONDITION_FAILED;
+        boolean conflict = status == PRECONDITION_FAILED
+                || status == CONFLICT
+                        && body.path("reason").asText(CONFLICT_REASON).equals(CONFLICT_REASON);
         String detail = body.path("detail").asText(body.path("title").asText("status " + status));
         String current = conflict && revision >= 0 ? " (current revision " + revision + ")" : "";
         throw new CtlException(conflict ? ExitCode.CONFLICT : ExitCode.REFUSED, what + ": " + detail + current, null);
--- a/ctl/src/main/java/org/cicadahead/ctl/KeysCommand.java
+++ b/ctl/src/main/java/org/cicadahead/ctl/KeysCommand.java
@@ -19,7 +19,12 @@
     private KeysCommand() {}
 
     /** Creates a key. */
-    @Command(name = "create", description = "Creates a key and shows it once.")
+    @Command(
+            name = "create",
+            description = {
+                "Creates a key and shows it once.",
+                "If the answer with the key was lost, exit code 1 and the digest to revoke."
+            })
     static final class Create extends AbstractCommand {
         @Parameters(paramLabel = "ORGANISATION")
         private String organisation;
@@ -33,7 +38,9 @@
             if (label != null) {
                 body.put("label", label);
             }
-            return show(client.call(HttpMethod.POST, Paths.KEYS, Map.of(), body), "key of " + organisation);
+            AdminReply reply = client.call(HttpMethod.POST, Paths.KEYS, Map.of(), body);
+            show(reply, "key of " + organisation);
+            return reply.body().has("key") ? ExitCode.DONE : ExitCode.REFUSED;
         }
     }
 
--- a/daemon/src/main/java/org/cicadahead/daemon/NodeStarter.java
+++ b/daemon/src/main/java/org/cicadahead/daemon/NodeStarter.java
@@ -2,6 +2,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.Set;
+import org.cicadahead.control.ControlNode;
+import org.cicadahead.entry.EntryNode;
 import org.cicadahead.model.DaemonId;
 import org.cicadahead.model.Role;
 import org.cicadahead.model.ZoneName;
@@ -11,19 +13,35 @@
 
 /** Starts roles through their facades. */
 final class NodeStarter implements RoleStarter {
+    /** All roles of one start have the same generation, and a later start has a higher one. */
+    private final long generation = System.currentTimeMillis();
 
     @Override
     public Node start(Role role, Settings settings, MetricRegistry metrics) throws NodeException {
-        throw new NodeException("the role " + role.code() + " is not built yet", null);
+        return switch (role) {
+            case CONTROL -> startControl(settings, metrics);
+            case ENTRY ->
+                EntryNode.start(
+                        settings.entry()
+                                .toConfig(info(settings, settings.entry().address()), settings.daemon()),
+                        metrics);
+            case ENDPOINT -> throw new NodeException("the role endpoint is not built yet", null);
+        };
     }
 
-    private static DaemonInfo info(Settings settings, String address) {
+    private Node startControl(Settings settings, MetricRegistry metrics) throws NodeException {
+        DaemonInfo info = info(settings, settings.control().address());
+        try {
+            return ControlNode.start(
+                    settings.control().toConfig(info, settings.daemon().workers()), metrics);
+        } catch (SettingsException e) {
+            throw new NodeException(e.getMessage(), e);
+        }
+    }
+
+    private DaemonInfo info(Settings settings, String address) {
         DaemonSettings daemon = settings.daemon();
         return new DaemonInfo(
-                DaemonId.of(daemon.id()),
-                Set.copyOf(daemon.roles()),
-                ZoneName.of(daemon.zone()),
-                System.currentTimeMillis(),
-                address);
+                DaemonId.of(daemon.id()), Set.copyOf(daemon.roles()), ZoneName.of(daemon.zone()), generation, address);
     }
 }
--- a/testbed/src/main/java/org/cicadahead/testbed/QuickstartCommand.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/QuickstartCommand.java
@@ -23,7 +23,6 @@
         mixinStandardHelpOptions = true,
         description = "Starts a fleet on the loopback address, runs a program and shuts the fleet down.")
 final class QuickstartCommand implements Callable<Integer> {
-    private static final FleetShape SHAPE = new FleetShape(3, 2, 2, 1, false);
     private static final long READY_MILLIS = 40_000;
     /** An accepted configuration is in force everywhere within this time, in milliseconds. */
     private static final long IN_FORCE_MILLIS = 3_000;
@@ -35,14 +34,17 @@
     @Option(names = "--stay", description = "Keeps the fleet up and prints its addresses.")
     private boolean stay;
 
+    @Option(names = "--controls", defaultValue = "3", description = "Control replicas. Default: ${DEFAULT-VALUE}.")
+    private int controls;
+
     @Override
     public Integer call() throws FleetException {
         Path folder = Binaries.locate()
                 .root()
                 .resolve("run/quickstart-" + ProcessHandle.current().pid());
         long startNanos = System.nanoTime();
-        try (Fleet fleet = Fleet.create(folder, SHAPE)) {
-            say("Starting %d processes; logs are in run/%s", 11, folder.getFileName());
+        try (Fleet fleet = Fleet.create(folder, new FleetShape(controls, 2, 2, 1, false))) {
+            say("Starting %d processes; logs are in run/%s", fleet.named("").size(), folder.getFileName());
             fleet.startAll(READY_MILLIS);
             say("All processes are ready after %d ms", millisSince(startNanos));
             System.out.print(ExampleResources.apply(fleet, RATE_PER_SECOND, BURST));
