--- /dev/null
+++ b/raft/src/main/java/org/cicadahead/raft/EntryLog.java
@@ -0,0 +1,106 @@
+package org.cicadahead.raft;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The entries after the latest snapshot, in memory, with the memberships among them. */
+final class EntryLog {
+    private final List<LogEntry> entries = new ArrayList<>();
+    private final TreeMap<Long, Membership> memberships = new TreeMap<>();
+    private SnapshotHead head;
+
+    EntryLog(SnapshotHead head, List<LogEntry> entries) {
+        this.head = head;
+        memberships.put(head.index(), head.membership());
+        entries.forEach(this::append);
+    }
+
+    SnapshotHead head() {
+        return head;
+    }
+
+    long lastIndex() {
+        return head.index() + entries.size();
+    }
+
+    long lastTerm() {
+        return term(lastIndex());
+    }
+
+    long lastMillis() {
+        return entries.isEmpty()
+                ? head.millis()
+                : entries.get(entries.size() - 1).millis();
+    }
+
+    /** Returns the term of an entry from the head on, or -1 if it is not here. */
+    long term(long index) {
+        if (index == head.index()) {
+            return head.term();
+        }
+        return index < head.index() || index > lastIndex() ? -1 : get(index).term();
+    }
+
+    LogEntry get(long index) {
+        return entries.get((int) (index - head.index() - 1));
+    }
+
+    /** Returns entries from an index on, at least one if there is any, up to a size. */
+    List<LogEntry> from(long index, int maxBytes) {
+        List<LogEntry> part = new ArrayList<>();
+        long bytes = 0;
+        for (long i = index; i <= lastIndex(); i++) {
+            LogEntry entry = get(i);
+            bytes += entry.size();
+            if (!part.isEmpty() && bytes > maxBytes) {
+                break;
+            }
+            part.add(entry);
+        }
+        return part;
+    }
+
+    void append(LogEntry entry) {
+        if (entry.index() != lastIndex() + 1) {
+            throw new IllegalArgumentException("The entry " + entry.index() + " does not follow " + lastIndex());
+        }
+        entries.add(entry);
+        if (entry.kind() == EntryKind.MEMBERSHIP) {
+            memberships.put(entry.index(), entry.membership());
+        }
+    }
+
+    void truncateFrom(long index) {
+        entries.subList((int) (index - head.index() - 1), entries.size()).clear();
+        memberships.tailMap(index, true).clear();
+    }
+
+    Membership membership() {
+        return memberships.lastEntry().getValue();
+    }
+
+    /** Returns where the latest membership stands. */
+    long membershipIndex() {
+        return memberships.lastKey();
+    }
+
+    Membership membershipAt(long index) {
+        Map.Entry<Long, Membership> entry = memberships.floorEntry(index);
+        return entry == null ? Membership.NONE : entry.getValue();
+    }
+
+    /** Drops the entries that a snapshot covers; keeps the later ones if they continue it. */
+    void startAt(SnapshotHead next) {
+        if (term(next.index()) == next.term()) {
+            entries.subList(0, (int) (next.index() - head.index())).clear();
+        } else {
+            entries.clear();
+            memberships.clear();
+        }
+        memberships.headMap(next.index(), true).clear();
+        memberships.put(next.index(), next.membership());
+        head = next;
+    }
+}
--- /dev/null
+++ b/raft/src/main/java/org/cicadahead/raft/Leadership.java
@@ -0,0 +1,280 @@
+package org.cicadahead.raft;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What a replica does in one term as the leader. */
+final class Leadership {
+    private final ReplicaState state;
+    private final Map<ReplicaId, Progress> progress = new HashMap<>();
+    private final boolean promotesLearners;
+    private final long firstIndex;
+    private long heartbeatDue;
+    private long leaseUntil = Long.MIN_VALUE;
+    private ReplicaId transferee;
+    private boolean transferSent;
+    private long transferDeadline;
+
+    Leadership(ReplicaState state, boolean promotesLearners, long nowMillis) {
+        this.state = state;
+        this.promotesLearners = promotesLearners;
+        updateMembers(nowMillis);
+        this.firstIndex = state.append(EntryKind.EMPTY, 0, null, null).index();
+        broadcast(nowMillis);
+        renewLease(nowMillis);
+    }
+
+    long firstIndex() {
+        return firstIndex;
+    }
+
+    /** Returns when the lease ends; once a successor was asked to take over there is none in this term. */
+    long leaseUntil() {
+        return transferSent ? Long.MIN_VALUE : leaseUntil;
+    }
+
+    boolean isTransferring() {
+        return transferee != null;
+    }
+
+    long match(ReplicaId id) {
+        if (id.equals(state.self)) {
+            return state.durable;
+        }
+        Progress peer = progress.get(id);
+        return peer == null ? 0 : peer.match;
+    }
+
+    boolean isSilent(ReplicaId id, long nowMillis) {
+        Progress peer = progress.get(id);
+        return peer != null && peer.heardMillis < nowMillis - state.timing.electionMaxMillis();
+    }
+
+    /** Sends due heartbeats; returns false if the leader has to step down. */
+    boolean tick(long nowMillis) {
+        renewLease(nowMillis);
+        long limit = nowMillis - state.timing.electionMaxMillis();
+        boolean heard = membership().majority(id -> id.equals(state.self) || progress.get(id).heardMillis >= limit);
+        if (!heard || transferSent && nowMillis >= transferDeadline) {
+            return false;
+        }
+        if (transferee != null && nowMillis >= transferDeadline) {
+            transferee = null;
+        }
+        if (nowMillis >= heartbeatDue) {
+            heartbeatDue = nowMillis + state.timing.heartbeatMillis();
+            progress.forEach((id, peer) -> heartbeat(id, peer, nowMillis));
+        }
+        return true;
+    }
+
+    /** Sends new entries to all that can take them. */
+    void broadcast(long nowMillis) {
+        progress.forEach((id, peer) -> replicate(id, peer, nowMillis));
+        advanceCommit();
+    }
+
+    void replied(RaftAppendReply reply, long nowMillis) {
+        Progress peer = heard(reply.from(), reply.sentMillis(), nowMillis);
+        if (peer == null) {
+            return;
+        }
+        if (!reply.success()) {
+            if (reply.index() < peer.next - 1) {
+                peer.rewind(reply.index());
+                sendEntries(reply.from(), peer, nowMillis);
+            }
+            return;
+        }
+        peer.acknowledged(Math.min(reply.index(), state.log.lastIndex()));
+        advanceCommit();
+        replicate(reply.from(), peer, nowMillis);
+        promote(reply.from(), peer, nowMillis);
+        handOver(reply.from(), peer, nowMillis);
+    }
+
+    void replied(RaftSnapshotReply reply, long nowMillis) {
+        Progress peer = heard(reply.from(), reply.sentMillis(), nowMillis);
+        if (peer == null) {
+            return;
+        }
+        if (reply.done()) {
+            peer.acknowledged(Math.min(reply.index(), state.log.lastIndex()));
+            peer.snapshotIndex = 0;
+            replicate(reply.from(), peer, nowMillis);
+        } else if (reply.index() == peer.snapshotIndex) {
+            boolean forward = reply.offset() > peer.snapshotOffset;
+            peer.snapshotOffset = reply.offset();
+            // A step back is sent with the next heartbeat, so that a repeated reply does not start a second stream.
+            if (forward) {
+                sendChunk(reply.from(), peer, nowMillis);
+            }
+        }
+    }
+
+    /** Appends a membership; returns why not, or null. */
+    String change(Membership next, long nowMillis) {
+        if (state.commit < firstIndex) {
+            // A change before an entry of the own term is committed could lead to two disjoint majorities.
+            return "the leader has not committed an entry of its term yet";
+        }
+        if (state.log.membershipIndex() > state.commit) {
+            return "another change of members is under way";
+        }
+        state.append(EntryKind.MEMBERSHIP, 0, null, next);
+        updateMembers(nowMillis);
+        broadcast(nowMillis);
+        renewLease(nowMillis);
+        return null;
+    }
+
+    /** Begins to hand over; returns why not, or null. */
+    String transfer(long nowMillis) {
+        if (transferee != null) {
+            return "a hand-over is under way";
+        }
+        for (ReplicaId id : membership().voters()) {
+            Progress peer = progress.get(id);
+            if (peer != null
+                    && nowMillis - peer.heardMillis <= state.timing.electionMinMillis()
+                    && (transferee == null || peer.match > match(transferee))) {
+                transferee = id;
+            }
+        }
+        if (transferee == null) {
+            return "no other voter is reachable";
+        }
+        transferDeadline = nowMillis + state.timing.electionMaxMillis();
+        handOver(transferee, progress.get(transferee), nowMillis);
+        return null;
+    }
+
+    void advanceCommit() {
+        List<Long> matches = new ArrayList<>();
+        for (ReplicaId id : membership().voters()) {
+            matches.add(match(id));
+        }
+        if (matches.isEmpty()) {
+            return;
+        }
+        matches.sort(Collections.reverseOrder());
+        long agreed = matches.get(membership().quorum() - 1);
+        if (agreed > state.commit && state.log.term(agreed) == state.term()) {
+            state.commit = agreed;
+        }
+    }
+
+    private Membership membership() {
+        return state.log.membership();
+    }
+
+    private void updateMembers(long nowMillis) {
+        progress.keySet().removeIf(id -> membership().find(id) == null);
+        for (Member member : membership().members()) {
+            if (!member.id().equals(state.self)) {
+                progress.computeIfAbsent(member.id(), id -> new Progress(state.log.lastIndex() + 1, nowMillis));
+            }
+        }
+    }
+
+    private Progress heard(ReplicaId from, long sentMillis, long nowMillis) {
+        Progress peer = progress.get(from);
+        if (peer != null) {
+            peer.heardMillis = nowMillis;
+            peer.ackedMillis = Math.max(peer.ackedMillis, sentMillis);
+            renewLease(nowMillis);
+        }
+        return peer;
+    }
+
+    /** The lease starts when the latest message that a majority has acknowledged was sent. */
+    private void renewLease(long nowMillis) {
+        List<Long> times = new ArrayList<>();
+        for (ReplicaId id : membership().voters()) {
+            times.add(id.equals(state.self) ? nowMillis : progress.get(id).ackedMillis);
+        }
+        times.sort(Collections.reverseOrder());
+        leaseUntil =
+                times.isEmpty() ? Long.MIN_VALUE : times.get(membership().quorum() - 1) + state.timing.leaseMillis();
+    }
+
+    private void heartbeat(ReplicaId id, Progress peer, long nowMillis) {
+        if (peer.next <= state.log.head().index()) {
+            sendChunk(id, peer, nowMillis);
+        } else if (peer.probing || peer.next > state.log.lastIndex() || !peer.hasRoom(state.timing.windowBytes())) {
+            send(id, peer.next - 1, List.of(), nowMillis);
+        } else {
+            replicate(id, peer, nowMillis);
+        }
+    }
+
+    private void replicate(ReplicaId id, Progress peer, long nowMillis) {
+        if (peer.probing) {
+            return;
+        }
+        if (peer.next <= state.log.head().index()) {
+            if (peer.snapshotIndex == 0) {
+                sendChunk(id, peer, nowMillis);
+            }
+            return;
+        }
+        while (peer.next <= state.log.lastIndex() && peer.hasRoom(state.timing.windowBytes())) {
+            sendEntries(id, peer, nowMillis);
+        }
+    }
+
+    private void sendEntries(ReplicaId id, Progress peer, long nowMillis) {
+        if (peer.next <= state.log.head().index()) {
+            sendChunk(id, peer, nowMillis);
+            return;
+        }
+        List<LogEntry> entries = state.log.from(peer.next, state.timing.batchBytes());
+        send(id, peer.next - 1, entries, nowMillis);
+        if (!peer.probing && !entries.isEmpty()) {
+            peer.sent(
+                    entries.get(entries.size() - 1).index(),
+                    entries.stream().mapToLong(LogEntry::size).sum());
+        }
+    }
+
+    private void send(ReplicaId id, long prevIndex, List<LogEntry> entries, long nowMillis) {
+        state.out
+                .send()
+                .add(new RaftAppend(
+                        state.self,
+                        id,
+                        state.term(),
+                        prevIndex,
+                        state.log.term(prevIndex),
+                        entries,
+                        state.commit,
+                        nowMillis));
+    }
+
+    private void sendChunk(ReplicaId id, Progress peer, long nowMillis) {
+        SnapshotHead head = state.snapshot;
+        if (peer.snapshotIndex != head.index()) {
+            peer.snapshotIndex = head.index();
+            peer.snapshotOffset = 0;
+        }
+        state.out.chunks().add(new Output.ChunkSend(id, head, peer.snapshotOffset, state.term(), nowMillis));
+    }
+
+    private void promote(ReplicaId id, Progress peer, long nowMillis) {
+        Member member = membership().find(id);
+        if (promotesLearners && !member.voter() && peer.match >= state.commit && state.commit >= firstIndex) {
+            change(membership().with(new Member(id, member.address(), true)), nowMillis);
+        }
+    }
+
+    private void handOver(ReplicaId id, Progress peer, long nowMillis) {
+        if (id.equals(transferee) && !transferSent && peer.match == state.log.lastIndex()) {
+            transferSent = true;
+            transferDeadline = nowMillis + state.timing.electionMaxMillis();
+            state.out.send().add(new RaftTransfer(state.self, id, state.term()));
+        }
+    }
+}
--- /dev/null
+++ b/raft/src/main/java/org/cicadahead/raft/RaftSnapshotReply.java
@@ -0,0 +1,16 @@
+package org.cicadahead.raft;
+
+/**
+ * Answers {@link RaftSnapshot}.
+ *
+ * @param from the follower
+ * @param to the leader
+ * @param term the term of the follower
+ * @param index the last entry that the snapshot covers
+ * @param offset the position of the chunk that the follower expects next, in bytes
+ * @param done whether the follower has all that the snapshot covers
+ * @param sentMillis repeated from the request
+ */
+public record RaftSnapshotReply(
+        ReplicaId from, ReplicaId to, long term, long index, long offset, boolean done, long sentMillis)
+        implements RaftMessage {}
--- /dev/null
+++ b/raft/src/main/java/org/cicadahead/replication/ConsensusLoop.java
@@ -0,0 +1,262 @@
+package org.cicadahead.replication;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.raft.Consensus;
+import org.cicadahead.raft.LogEntry;
+import org.cicadahead.raft.Member;
+import org.cicadahead.raft.MemberChange;
+import org.cicadahead.raft.Membership;
+import org.cicadahead.raft.Output;
+import org.cicadahead.raft.Payload;
+import org.cicadahead.raft.RaftMessage;
+import org.cicadahead.raft.ReplicaId;
+
+/** Feeds consensus with events on one thread and hands its outputs on. */
+final class ConsensusLoop implements Runnable {
+    /** Short against the heartbeat interval of 100 ms. */
+    private static final long TICK_MILLIS = 10;
+    /** Messages beyond this backlog are dropped, as consensus recovers from lost messages. */
+    private static final int MAX_EVENTS = 20_000;
+
+    private final Consensus consensus;
+    private final Discovery discovery;
+    private final Transport transport;
+    private final Pending pending;
+    private final Sink sink;
+    private final BlockingQueue<Runnable> events = new LinkedBlockingQueue<>();
+    private final ConcurrentLinkedQueue<Proposal> proposals = new ConcurrentLinkedQueue<>();
+    private final List<CompletableFuture<Void>> handOvers = new ArrayList<>();
+    private volatile Status status;
+    private volatile boolean stopped;
+    private boolean wasLeader;
+
+    /** Takes what consensus asks for; must not block. */
+    interface Sink {
+        void write(Output output);
+
+        void apply(Output output);
+
+        void sendChunk(Output.ChunkSend chunk);
+
+        void failed(Exception cause);
+    }
+
+    /** What other threads may know. Immutable. */
+    record Status(
+            Consensus.Role role,
+            long term,
+            ReplicaId leader,
+            long leaseUntilMillis,
+            long firstIndexOfLeader,
+            long commitIndex,
+            long lastIndex,
+            long elections,
+            Membership membership) {}
+
+    private record Proposal(Payload payload, CompletableFuture<Message> answer) {}
+
+    ConsensusLoop(Consensus consensus, Discovery discovery, Transport transport, Pending pending, Sink sink) {
+        this.consensus = consensus;
+        this.discovery = discovery;
+        this.transport = transport;
+        this.pending = pending;
+        this.sink = sink;
+        publish();
+    }
+
+    static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    @Override
+    public void run() {
+        long tickDue = nowMillis();
+        try {
+            while (!stopped) {
+                Runnable event = events.poll(Math.max(0, tickDue - nowMillis()), TimeUnit.MILLISECONDS);
+                if (event != null) {
+                    event.run();
+                }
+                if (nowMillis() >= tickDue) {
+                    tickDue = nowMillis() + TICK_MILLIS;
+                    tick();
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (RuntimeException e) {
+            sink.failed(e);
+        } finally {
+            for (Proposal next = proposals.poll(); next != null; next = proposals.poll()) {
+                refuse(next.answer, "the replica is stopped");
+            }
+        }
+    }
+
+    Status status() {
+        return status;
+    }
+
+    void stop() {
+        stopped = true;
+        events.add(() -> {});
+    }
+
+    void received(RaftMessage message) {
+        if (events.size() < MAX_EVENTS) {
+            events.add(() -> process(consensus.receive(message, nowMillis())));
+        }
+    }
+
+    void synced(long sequence) {
+        events.add(() -> process(consensus.persisted(sequence, nowMillis())));
+    }
+
+    /** Runs an event on the thread of consensus. */
+    void post(Consumer<Consensus> event) {
+        events.add(() -> event.accept(consensus));
+    }
+
+    void propose(Payload payload, CompletableFuture<Message> answer) {
+        proposals.add(new Proposal(payload, answer));
+        events.add(this::takeProposals);
+    }
+
+    void change(MemberChange change, ReplicaId id, String address, CompletableFuture<Message> answer) {
+        events.add(() -> {
+            if (change == MemberChange.PROMOTE && consensus.matchIndex(id) < consensus.commitIndex()) {
+                refuse(answer, "the learner has not caught up");
+                return;
+            }
+            Output output = consensus.change(change, id, address, nowMillis());
+            if (output.refusal() == null) {
+                pending.add(output.append().get(0), answer);
+            } else {
+                refuse(answer, output.refusal());
+            }
+            process(output);
+        });
+    }
+
+    /** Lets a replica with an empty log join; one step for each request, which the replica repeats. */
+    void join(ReplicaId id, String address) {
+        events.add(() -> {
+            long now = nowMillis();
+            if (consensus.role() != Consensus.Role.LEADER
+                    || consensus.membership().find(id) != null) {
+                return;
+            }
+            for (Member member : consensus.membership().members()) {
+                if (member.address().equals(address)) {
+                    // The earlier replica at this address is gone with its folder; one that still answers stays.
+                    if (consensus.isSilent(member.id(), now)) {
+                        process(consensus.change(MemberChange.REMOVE, member.id(), address, now));
+                    }
+                    return;
+                }
+            }
+            process(consensus.change(MemberChange.ADD, id, address, now));
+        });
+    }
+
+    /** Begins to hand over leadership; the result ends when this replica does not lead any more. */
+    CompletableFuture<Void> handOver() {
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        events.add(() -> {
+            handOvers.add(ended);
+            Output output = consensus.transfer(nowMillis());
+            if (consensus.role() != Consensus.Role.LEADER || output.refusal() != null) {
+                endHandOvers();
+            }
+            process(output);
+        });
+        return ended;
+    }
+
+    void process(Output output) {
+        publish();
+        if (wasLeader && status.role() != Consensus.Role.LEADER) {
+            pending.failAll("this replica is not the leader any more");
+            endHandOvers();
+        }
+        wasLeader = status.role() == Consensus.Role.LEADER;
+        if (output.hasWrites()
+                || output.reset() != null
+                || output.store() != null
+                || !output.afterSync().isEmpty()) {
+            sink.write(output);
+        }
+        output.send().forEach(transport::send);
+        if (output.reset() != null || !output.committed().isEmpty()) {
+            sink.apply(output);
+        }
+        output.chunks().forEach(sink::sendChunk);
+    }
+
+    private void endHandOvers() {
+        handOvers.forEach(ended -> ended.complete(null));
+        handOvers.clear();
+    }
+
+    private static void refuse(CompletableFuture<Message> answer, String reason) {
+        answer.completeExceptionally(new ReplicationException(false, reason, null));
+    }
+
+    private void tick() {
+        long now = nowMillis();
+        process(consensus.tick(now));
+        boolean emptyLog = consensus.lastIndex() == 0;
+        discovery.tick(now, emptyLog, consensus.membership());
+        Membership founding = emptyLog ? discovery.founding() : null;
+        if (founding != null) {
+            process(consensus.bootstrap(founding, now));
+        }
+    }
+
+    private void takeProposals() {
+        List<Proposal> batch = new ArrayList<>();
+        for (Proposal next = proposals.poll(); next != null; next = proposals.poll()) {
+            batch.add(next);
+        }
+        if (batch.isEmpty()) {
+            return;
+        }
+        Output output = consensus.propose(
+                batch.stream().map(Proposal::payload).toList(), System.currentTimeMillis(), nowMillis());
+        if (output.refusal() != null) {
+            batch.forEach(proposal -> refuse(proposal.answer, output.refusal()));
+        } else {
+            List<LogEntry> entries = output.append();
+            for (int i = 0; i < batch.size(); i++) {
+                pending.add(entries.get(i), batch.get(i).answer);
+            }
+        }
+        process(output);
+    }
+
+    /** Other threads see the end of a lease before any message is sent that may end it. */
+    private void publish() {
+        Membership membership = consensus.membership();
+        if (status == null || status.membership() != membership) {
+            transport.learn(membership);
+        }
+        status = new Status(
+                consensus.role(),
+                consensus.term(),
+                consensus.leader(),
+                consensus.leaseUntilMillis(),
+                consensus.firstIndexOfLeader(),
+                consensus.commitIndex(),
+                consensus.lastIndex(),
+                consensus.elections(),
+                membership);
+    }
+}
--- /dev/null
+++ b/raft/src/main/java/org/cicadahead/replication/Discovery.java
@@ -0,0 +1,81 @@
+package org.cicadahead.replication;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import org.cicadahead.raft.Member;
+import org.cicadahead.raft.Membership;
+import org.cicadahead.raft.ReplicaId;
+
+/**
+ * Finds out who is at the addresses of the other replicas, and whether the group exists.
+ *
+ * <p>A group is founded by one replica only, the initial member with the smallest address, after each other initial
+ * member has told its id and that its log is empty. A replica that is emptied later gets a log from its peers instead,
+ * as at least one of them has a log.
+ */
+final class Discovery {
+    private static final long EMPTY_INTERVAL_MILLIS = 200;
+    private static final long INTERVAL_MILLIS = 1_000;
+
+    private final ReplicationConfig config;
+    private final ReplicaId self;
+    private final Transport transport;
+    private final Map<String, RaftHelloReply> answers = new ConcurrentHashMap<>();
+    private volatile boolean groupExists;
+    private long due = Long.MIN_VALUE;
+
+    Discovery(ReplicationConfig config, ReplicaId self, Transport transport) {
+        this.config = config;
+        this.self = self;
+        this.transport = transport;
+    }
+
+    /** Asks all known addresses from time to time. */
+    void tick(long nowMillis, boolean emptyLog, Membership membership) {
+        if (nowMillis < due) {
+            return;
+        }
+        due = nowMillis + (emptyLog ? EMPTY_INTERVAL_MILLIS : INTERVAL_MILLIS);
+        Set<String> addresses = new TreeSet<>(config.members());
+        membership.members().forEach(member -> addresses.add(member.address()));
+        addresses.remove(config.address());
+        RaftHello hello = new RaftHello(self, config.address(), emptyLog);
+        for (String address : addresses) {
+            transport.hello(address, hello).thenAccept(reply -> answered(address, reply));
+        }
+    }
+
+    /** Returns the first membership if this replica is to found the group now, otherwise null. */
+    Membership founding() {
+        if (!config.bootstrap()
+                || groupExists
+                || !Collections.min(config.members()).equals(config.address())) {
+            return null;
+        }
+        List<Member> members = new ArrayList<>();
+        for (String address : config.members()) {
+            RaftHelloReply answer = answers.get(address);
+            if (address.equals(config.address())) {
+                members.add(new Member(self, address, true));
+            } else if (answer == null) {
+                return null;
+            } else {
+                members.add(new Member(answer.id(), address, true));
+            }
+        }
+        return new Membership(members);
+    }
+
+    private void answered(String address, RaftHelloReply reply) {
+        transport.learn(reply.id(), address);
+        if (reply.initialised()) {
+            groupExists = true;
+        }
+        answers.put(address, reply);
+    }
+}
--- /dev/null
+++ b/raft/src/main/java/org/cicadahead/replication/LogWriter.java
@@ -0,0 +1,128 @@
+package org.cicadahead.replication;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cicadahead.raft.Output;
+import org.cicadahead.raft.RaftSnapshot;
+import org.cicadahead.storage.LogStore;
+import org.cicadahead.storage.SnapshotStore;
+import org.cicadahead.storage.StorageException;
+
+/**
+ * Writes what consensus asks for. All that is queued is written and then synced once; only then the messages that
+ * depend on it are released.
+ */
+final class LogWriter implements Runnable {
+    private static final long STOP = -1;
+
+    private final LogStore log;
+    private final SnapshotStore snapshots;
+    private final Listener listener;
+    private final BlockingQueue<Task> queue = new LinkedBlockingQueue<>();
+    private final AtomicLong syncs = new AtomicLong();
+    private final AtomicLong syncNanos = new AtomicLong();
+    private boolean stopped;
+
+    /** Is told what is done; must not block. */
+    interface Listener {
+        void synced(long sequence, List<Output> outputs);
+
+        void chunkStored(RaftSnapshot chunk, long nextOffset);
+
+        void failed(StorageException cause);
+    }
+
+    /** An output to write, or an index up to which the log is not needed. */
+    private record Task(Output output, long compactTo) {}
+
+    LogWriter(LogStore log, SnapshotStore snapshots, Listener listener) {
+        this.log = log;
+        this.snapshots = snapshots;
+        this.listener = listener;
+    }
+
+    void write(Output output) {
+        queue.add(new Task(output, 0));
+    }
+
+    void compact(long index) {
+        queue.add(new Task(null, index));
+    }
+
+    /** Ends the thread when what is queued is written. */
+    void stop() {
+        queue.add(new Task(null, STOP));
+    }
+
+    long syncs() {
+        return syncs.get();
+    }
+
+    long syncNanos() {
+        return syncNanos.get();
+    }
+
+    @Override
+    public void run() {
+        List<Task> tasks = new ArrayList<>();
+        try {
+            while (!stopped) {
+                tasks.clear();
+                tasks.add(queue.take());
+                queue.drainTo(tasks);
+                process(tasks);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (StorageException e) {
+            listener.failed(e);
+        } catch (RuntimeException e) {
+            listener.failed(new StorageException(StorageException.Kind.FAILED, "the log writer failed", e));
+        }
+    }
+
+    private void process(List<Task> tasks) throws StorageException {
+        List<Output> outputs = new ArrayList<>();
+        for (Task task : tasks) {
+            if (task.output == null && task.compactTo == STOP) {
+                stopped = true;
+            } else if (task.output == null) {
+                log.compact(task.compactTo);
+            } else {
+                write(log, task.output);
+                outputs.add(task.output);
+            }
+        }
+        long start = System.nanoTime();
+        if (log.sync()) {
+            syncs.incrementAndGet();
+            syncNanos.addAndGet(System.nanoTime() - start);
+        }
+        if (!outputs.isEmpty()) {
+            listener.synced(outputs.get(outputs.size() - 1).sequence(), outputs);
+        }
+        for (Output output : outputs) {
+            if (output.store() != null) {
+                listener.chunkStored(output.store(), snapshots.receive(output.store()));
+            }
+        }
+    }
+
+    private static void write(LogStore log, Output output) throws StorageException {
+        if (output.hardState() != null) {
+            log.save(output.hardState());
+        }
+        if (output.reset() != null) {
+            log.reset(output.reset());
+        }
+        if (output.truncateFrom() > 0) {
+            log.truncateFrom(output.truncateFrom());
+        }
+        if (!output.append().isEmpty()) {
+            log.append(output.append());
+        }
+    }
+}
--- /dev/null
+++ b/raft/src/main/java/org/cicadahead/replication/Pending.java
@@ -0,0 +1,45 @@
+package org.cicadahead.replication;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.raft.LogEntry;
+
+/** The proposals of this replica that are in the log and not applied yet. Safe for use by several threads. */
+final class Pending {
+    private final Map<Long, Proposal> proposals = new ConcurrentHashMap<>();
+
+    private record Proposal(long term, CompletableFuture<Message> answer) {}
+
+    void add(LogEntry entry, CompletableFuture<Message> answer) {
+        proposals.put(entry.index(), new Proposal(entry.term(), answer));
+    }
+
+    int size() {
+        return proposals.size();
+    }
+
+    /** Answers the proposal at an entry that is applied, if there is one. */
+    void applied(LogEntry entry, Message reply) {
+        Proposal proposal = proposals.remove(entry.index());
+        if (proposal != null) {
+            if (proposal.term == entry.term()) {
+                proposal.answer.complete(reply);
+            } else {
+                proposal.answer.completeExceptionally(
+                        new ReplicationException(false, "another entry took the place of the command", null));
+            }
+        }
+    }
+
+    /** Fails all proposals. Their entries may still be committed by another leader. */
+    void failAll(String reason) {
+        for (Long index : proposals.keySet()) {
+            Proposal proposal = proposals.remove(index);
+            if (proposal != null) {
+                proposal.answer.completeExceptionally(new ReplicationException(true, reason, null));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/raft/src/main/java/org/cicadahead/replication/ReplicatedNode.java
@@ -0,0 +1,493 @@
+package org.cicadahead.replication;
+
+import java.io.Closeable;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
+import org.cicadahead.protocol.Command;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.protocol.MessageCatalog;
+import org.cicadahead.raft.Consensus;
+import org.cicadahead.raft.MemberChange;
+import org.cicadahead.raft.Output;
+import org.cicadahead.raft.Payload;
+import org.cicadahead.raft.RaftAppend;
+import org.cicadahead.raft.RaftAppendReply;
+import org.cicadahead.raft.RaftMessage;
+import org.cicadahead.raft.RaftSnapshot;
+import org.cicadahead.raft.RaftSnapshotReply;
+import org.cicadahead.raft.RaftTransfer;
+import org.cicadahead.raft.RaftVote;
+import org.cicadahead.raft.RaftVoteReply;
+import org.cicadahead.raft.ReplicaId;
+import org.cicadahead.raft.SnapshotHead;
+import org.cicadahead.storage.ReplicaFolder;
+import org.cicadahead.storage.StorageException;
+import org.cicadahead.wire.Codec;
+import org.cicadahead.wire.PeerHandler;
+import org.cicadahead.wire.Responder;
+import org.cicadahead.wire.WireException;
+import org.jboss.logging.Logger;
+
+/**
+ * A replica of the log: consensus, files, connections and threads. Safe for use by several threads.
+ *
+ * <p>The owner of the peer server calls {@link #handles(Message)} for each message and passes those of the replica to
+ * this handler; server and replica use a catalogue from {@link #catalog(MessageCatalog)}. The first use is
+ * {@link #start(ReplicationConfig, StateMachine, MessageCatalog)}.
+ *
+ * <p>The answers of {@link #propose} are completed by the thread that applies commands, so what depends on them must
+ * not block. When a file cannot be written, for example because the disk is full, or the state machine fails, it
+ * stops. It leads, votes and acknowledges no more until it is started again, and {@link #failure()} tells why.
+ */
+public final class ReplicatedNode implements ReplicatedLog, PeerHandler, Closeable {
+    /** The largest command, in bytes, so that it fits into one message between replicas. */
+    public static final int MAX_COMMAND_BYTES = 12 * 1024 * 1024;
+
+    private static final Logger LOG = Logger.getLogger("cicadahead.raft");
+    /** Proposals beyond this number are refused, so that a slow disk does not fill the memory. */
+    private static final int MAX_PENDING = 50_000;
+
+    private static final long JOIN_MILLIS = 5_000;
+
+    private final ReplicationConfig config;
+    private final ReplicaFolder folder;
+    private final Transport transport;
+    private final Pending pending = new Pending();
+    private final LogWriter writer;
+    private final Applier applier;
+    private final ConsensusLoop loop;
+    private final Snapshotter snapshotter;
+    private final List<Thread> threads = new ArrayList<>();
+    private final AtomicReference<Exception> failure = new AtomicReference<>();
+    private volatile boolean closed;
+
+    private ReplicatedNode(
+            ReplicationConfig config, ReplicaFolder folder, StateMachine machine, MessageCatalog catalog) {
+        this.config = config;
+        this.folder = folder;
+        this.transport = new Transport(catalog);
+        this.snapshotter = new Snapshotter(folder.id(), folder.snapshots(), transport);
+        this.writer = new LogWriter(folder.log(), folder.snapshots(), new WriterListener());
+        this.applier = new Applier(machine, catalog, folder.snapshots(), pending, config, new ApplierListener());
+        Consensus consensus = new Consensus(
+                folder.id(),
+                config.timing(),
+                true,
+                folder.log().hardState(),
+                folder.snapshots().latest(),
+                folder.log().takeRecovered(),
+                folder.id().hashCode() ^ System.nanoTime(),
+                ConsensusLoop.nowMillis());
+        Discovery discovery = new Discovery(config, folder.id(), transport);
+        this.loop = new ConsensusLoop(consensus, discovery, transport, pending, new LoopSink());
+    }
+
+    /**
+     * Returns a catalogue with the messages between replicas added.
+     *
+     * @param base the other messages
+     * @return the catalogue
+     */
+    public static MessageCatalog catalog(MessageCatalog base) {
+        Collection<Class<? extends Message>> types = List.of(
+                RaftAppend.class,
+                RaftAppendReply.class,
+                RaftHello.class,
+                RaftHelloReply.class,
+                RaftSnapshot.class,
+                RaftSnapshotReply.class,
+                RaftTransfer.class,
+                RaftVote.class,
+                RaftVoteReply.class);
+        return base.with(types);
+    }
+
+    /**
+     * Starts a replica: recovers its files, restores the latest snapshot and starts its threads.
+     *
+     * @param config the settings
+     * @param machine the state machine
+     * @param catalog the message types, from {@link #catalog(MessageCatalog)}, with all commands
+     * @return the replica
+     * @throws ReplicationException if the files are corrupt or cannot be read
+     */
+    public static ReplicatedNode start(ReplicationConfig config, StateMachine machine, MessageCatalog catalog)
+            throws ReplicationException {
+        Objects.requireNonNull(machine, "The state machine must not be null");
+        ReplicaFolder folder = null;
+        try {
+            folder = ReplicaFolder.open(config.folder(), config.segmentBytes());
+            ReplicatedNode node = new ReplicatedNode(config, folder, machine, catalog);
+            node.applier.restoreLatest();
+            node.startThreads();
+            return node;
+        } catch (StorageException e) {
+            if (folder != null) {
+                folder.close();
+            }
+            throw new ReplicationException(false, "the replica cannot start: " + e.getMessage(), e);
+        }
+    }
+
+    /**
+     * Returns whether a message is for the replica.
+     *
+     * @param message a message that a peer server received
+     * @return true if it is to be passed to {@link #handle}
+     */
+    public static boolean handles(Message message) {
+        return message instanceof RaftMessage || message instanceof RaftHello;
+    }
+
+    @Override
+    public void handle(Message request, Responder responder) throws WireException {
+        if (closed || failure.get() != null) {
+            throw new WireException(WireException.Kind.REMOTE, "the replica is stopped");
+        }
+        if (request instanceof RaftHello hello) {
+            transport.learn(hello.id(), hello.address());
+            responder.reply(new RaftHelloReply(folder.id(), loop.status().lastIndex() > 0));
+            if (hello.joining()) {
+                loop.join(hello.id(), hello.address());
+            }
+        } else if (request instanceof RaftMessage message) {
+            loop.received(message);
+        } else {
+            throw new WireException(
+                    WireException.Kind.REMOTE,
+                    "unexpected " + request.getClass().getSimpleName());
+        }
+    }
+
+    @Override
+    public CompletableFuture<Message> propose(Command command) {
+        byte[] data;
+        try {
+            data = Codec.pack(command);
+        } catch (WireException e) {
+            return refused("the command cannot be encoded");
+        }
+        if (data.length > MAX_COMMAND_BYTES) {
+            return refused("the command is too large");
+        }
+        if (!isLeader()) {
+            return refused("this replica is not the leader");
+        }
+        if (pending.size() >= MAX_PENDING) {
+            return refused("too many commands wait");
+        }
+        CompletableFuture<Message> answer = new CompletableFuture<>();
+        loop.propose(new Payload(command.getClass().getSimpleName(), data), answer);
+        return failIfStopped(answer);
+    }
+
+    @Override
+    public boolean holdsLease(long nowMillis) {
+        ConsensusLoop.Status status = loop.status();
+        return isRunning() && nowMillis < status.leaseUntilMillis() && applier.applied() >= status.firstIndexOfLeader();
+    }
+
+    /**
+     * Returns the monotonic time for {@link #holdsLease(long)}.
+     *
+     * @return the time in milliseconds
+     */
+    public static long monotonicMillis() {
+        return ConsensusLoop.nowMillis();
+    }
+
+    @Override
+    public long term() {
+        return loop.status().term();
+    }
+
+    @Override
+    public String leaderAddress() {
+        ReplicaId leader = loop.status().leader();
+        return folder.id().equals(leader) ? config.address() : transport.address(leader);
+    }
+
+    /**
+     * Returns whether this replica leads. Only {@link #holdsLease(long)} allows it to answer reads.
+     *
+     * @return true if it leads
+     */
+    public boolean isLeader() {
+        return isRunning() && loop.status().role() == Consensus.Role.LEADER;
+    }
+
+    /**
+     * Returns the id of this replica.
+     *
+     * @return the id
+     */
+    public ReplicaId id() {
+        return folder.id();
+    }
+
+    /**
+     * Returns the members of the group. Only the leader knows how far the others are.
+     *
+     * @return the members; answered by the thread of consensus
+     */
+    public CompletableFuture<List<MemberStatus>> members() {
+        CompletableFuture<List<MemberStatus>> answer = new CompletableFuture<>();
+        loop.post(consensus -> answer.complete(consensus.membership().members().stream()
+                .map(member -> new MemberStatus(
+                        member.id(),
+                        member.address(),
+                        member.voter(),
+                        member.id().equals(consensus.leader()),
+                        consensus.matchIndex(member.id())))
+                .toList()));
+        return failIfStopped(answer);
+    }
+
+    /**
+     * Adds the replica at an address as a learner. It is promoted when it has caught up.
+     *
+     * @param address host and port of its peer server
+     * @return ends when the change is committed; fails with a {@link ReplicationException}
+     */
+    public CompletableFuture<Void> addMember(String address) {
+        return transport
+                .hello(address, new RaftHello(folder.id(), config.address(), false))
+                .handle((reply, cause) -> cause == null
+                        ? change(MemberChange.ADD, reply.id(), address)
+                        : CompletableFuture.<Void>failedFuture(
+                                new ReplicationException(false, "no replica answers at " + address, cause)))
+                .thenCompose(result -> result);
+    }
+
+    /**
+     * Removes a member. The leader cannot be removed; it has to hand over before.
+     *
+     * @param id its id
+     * @return ends when the change is committed; fails with a {@link ReplicationException}
+     */
+    public CompletableFuture<Void> removeMember(ReplicaId id) {
+        return change(MemberChange.REMOVE, id, "");
+    }
+
+    /**
+     * Makes a learner that has caught up a voter.
+     *
+     * @param id its id
+     * @return ends when the change is committed; fails with a {@link ReplicationException}
+     */
+    public CompletableFuture<Void> promoteMember(ReplicaId id) {
+        return change(MemberChange.PROMOTE, id, "");
+    }
+
+    /**
+     * Hands leadership over to another voter, if this replica leads.
+     *
+     * @return ends when this replica does not lead any more, or there is nobody to take over
+     */
+    public CompletableFuture<Void> handOver() {
+        return isLeader() ? loop.handOver() : CompletableFuture.completedFuture(null);
+    }
+
+    /**
+     * Hands leadership over and stops.
+     *
+     * @param timeoutMillis how long to wait for a successor, in milliseconds
+     */
+    public void shutdown(long timeoutMillis) {
+        try {
+            handOver().get(timeoutMillis, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.warnf("raft: Nobody took over leadership in %d ms", timeoutMillis);
+        }
+        close();
+    }
+
+    /** Stops without handing over leadership. Proposals under way fail. */
+    @Override
+    public void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        loop.stop();
+        writer.stop();
+        applier.stop();
+        transport.close();
+        try {
+            for (Thread thread : threads) {
+                thread.join(JOIN_MILLIS);
+            }
+            snapshotter.stop(JOIN_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        pending.failAll("the replica was stopped");
+        folder.close();
+    }
+
+    /**
+     * Returns why the replica has stopped by itself.
+     *
+     * @return the cause, or null if it runs
+     */
+    public Exception failure() {
+        return failure.get();
+    }
+
+    /**
+     * Returns a reading of the counters.
+     *
+     * @return the counters
+     */
+    public ReplicationCounters counters() {
+        ConsensusLoop.Status status = loop.status();
+        return new ReplicationCounters(
+                status.term(),
+                status.lastIndex(),
+                status.commitIndex(),
+                applier.applied(),
+                folder.snapshots().latest().index(),
+                writer.syncs(),
+                writer.syncNanos(),
+                status.elections());
+    }
+
+    private static Thread daemon(Runnable body, String name) {
+        Thread thread = new Thread(body, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private static CompletableFuture<Message> refused(String reason) {
+        return CompletableFuture.failedFuture(new ReplicationException(false, reason, null));
+    }
+
+    private boolean isRunning() {
+        return !closed && failure.get() == null;
+    }
+
+    private void startThreads() {
+        threads.add(daemon(writer, "raft-writer"));
+        threads.add(daemon(applier, "raft-apply"));
+        threads.add(daemon(loop, "raft-consensus"));
+        threads.forEach(Thread::start);
+    }
+
+    private CompletableFuture<Void> change(MemberChange change, ReplicaId id, String address) {
+        CompletableFuture<Message> answer = new CompletableFuture<>();
+        loop.change(change, id, address, answer);
+        return failIfStopped(answer).thenApply(none -> null);
+    }
+
+    /** An event that is posted after the thread has ended is never run. */
+    private <T> CompletableFuture<T> failIfStopped(CompletableFuture<T> answer) {
+        if (!isRunning()) {
+            answer.completeExceptionally(new ReplicationException(true, "the replica is stopped", failure.get()));
+        }
+        return answer;
+    }
+
+    private void fail(Exception cause) {
+        if (failure.compareAndSet(null, cause)) {
+            LOG.errorf(cause, "raft: The replica stops: %s", cause.getMessage());
+            loop.stop();
+            writer.stop();
+            applier.stop();
+            transport.close();
+            pending.failAll("the replica has failed: " + cause.getMessage());
+        }
+    }
+
+    private final class LoopSink implements ConsensusLoop.Sink {
+
+        @Override
+        public void write(Output output) {
+            writer.write(output);
+        }
+
+        @Override
+        public void apply(Output output) {
+            if (output.reset() != null) {
+                applier.restore(output.reset());
+            }
+            if (!output.committed().isEmpty()) {
+                applier.apply(output.committed());
+            }
+        }
+
+        @Override
+        public void sendChunk(Output.ChunkSend chunk) {
+            snapshotter.send(chunk);
+        }
+
+        @Override
+        public void failed(Exception cause) {
+            fail(cause);
+        }
+    }
+
+    private final class WriterListener implements LogWriter.Listener {
+
+        @Override
+        public void synced(long sequence, List<Output> outputs) {
+            outputs.forEach(output -> output.afterSync().forEach(transport::send));
+            loop.synced(sequence);
+        }
+
+        @Override
+        public void chunkStored(RaftSnapshot chunk, long nextOffset) {
+            if (nextOffset < 0) {
+                loop.post(consensus -> loop.process(consensus.installed(chunk, ConsensusLoop.nowMillis())));
+            } else {
+                transport.send(new RaftSnapshotReply(
+                        folder.id(),
+                        chunk.from(),
+                        chunk.term(),
+                        chunk.head().index(),
+                        nextOffset,
+                        false,
+                        chunk.sentMillis()));
+            }
+        }
+
+        @Override
+        public void failed(StorageException cause) {
+            fail(cause);
+        }
+    }
+
+    private final class ApplierListener implements Applier.Listener {
+
+        @Override
+        public void snapshotPrepared(long index, StateSnapshot snapshot) {
+            loop.post(consensus -> {
+                SnapshotHead head = consensus.headAt(index);
+                if (head.index() == index) {
+                    snapshotter.write(head, snapshot, this::stored, applier::snapshotDone);
+                } else {
+                    snapshotter.discard(snapshot);
+                    applier.snapshotDone();
+                }
+            });
+        }
+
+        @Override
+        public void failed(Exception cause) {
+            fail(cause);
+        }
+
+        private void stored(SnapshotHead head) {
+            loop.post(consensus ->
+                    writer.compact(consensus.compact(head, config.keepEntries()).index()));
+        }
+    }
+}
--- /dev/null
+++ b/raft/src/main/java/org/cicadahead/replication/Snapshotter.java
@@ -0,0 +1,105 @@
+package org.cicadahead.replication;
+
+import java.io.IOException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.cicadahead.raft.Output;
+import org.cicadahead.raft.RaftSnapshot;
+import org.cicadahead.raft.ReplicaId;
+import org.cicadahead.raft.SnapshotHead;
+import org.cicadahead.storage.SnapshotStore;
+import org.cicadahead.storage.StorageException;
+import org.jboss.logging.Logger;
+
+/** Writes snapshots and sends them in chunks, on a thread of its own. Safe for use by several threads. */
+final class Snapshotter {
+    private static final Logger LOG = Logger.getLogger("cicadahead.raft");
+    private static final int CHUNK_BYTES = 256 * 1024;
+
+    private final ReplicaId self;
+    private final SnapshotStore store;
+    private final Transport transport;
+    private final ExecutorService executor = Executors.newSingleThreadExecutor(task -> {
+        Thread thread = new Thread(task, "raft-snapshot");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    Snapshotter(ReplicaId self, SnapshotStore store, Transport transport) {
+        this.self = self;
+        this.store = store;
+        this.transport = transport;
+    }
+
+    /**
+     * Writes a snapshot and closes the frozen state.
+     *
+     * @param stored is told what the snapshot covers when it is synced
+     * @param ended runs at the end in any case
+     */
+    void write(SnapshotHead head, StateSnapshot state, Consumer<SnapshotHead> stored, Runnable ended) {
+        boolean accepted = execute(() -> {
+            try (state) {
+                store.write(head, state::write);
+                stored.accept(head);
+            } catch (IOException | StorageException | RuntimeException e) {
+                LOG.errorf(e, "raft: Cannot write the snapshot at entry %d; the earlier one stays", head.index());
+            } finally {
+                ended.run();
+            }
+        });
+        if (!accepted) {
+            discard(state);
+        }
+    }
+
+    void send(Output.ChunkSend send) {
+        execute(() -> {
+            try {
+                SnapshotStore.Chunk chunk = store.chunk(send.head(), send.offset(), CHUNK_BYTES);
+                if (chunk != null) {
+                    transport.send(new RaftSnapshot(
+                            self,
+                            send.to(),
+                            send.term(),
+                            send.head(),
+                            send.offset(),
+                            chunk.data(),
+                            chunk.last(),
+                            send.sentMillis()));
+                }
+            } catch (StorageException e) {
+                LOG.errorf(
+                        e,
+                        "raft: Cannot read the snapshot at entry %d",
+                        send.head().index());
+            }
+        });
+    }
+
+    void discard(StateSnapshot state) {
+        try {
+            state.close();
+        } catch (IOException e) {
+            LOG.debugf(e, "raft: Cannot close a snapshot that is not needed");
+        }
+    }
+
+    void stop(long waitMillis) throws InterruptedException {
+        executor.shutdown();
+        executor.awaitTermination(waitMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean execute(Runnable task) {
+        try {
+            executor.execute(task);
+            return true;
+        } catch (RejectedExecutionException e) {
+            LOG.debugf("raft: The replica is stopped, a snapshot task is dropped");
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/raft/src/main/java/org/cicadahead/replication/Transport.java
@@ -0,0 +1,98 @@
+package org.cicadahead.replication;
+
+import java.io.Closeable;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.protocol.MessageCatalog;
+import org.cicadahead.raft.Member;
+import org.cicadahead.raft.Membership;
+import org.cicadahead.raft.RaftMessage;
+import org.cicadahead.raft.ReplicaId;
+import org.cicadahead.wire.PeerClient;
+import org.cicadahead.wire.WireException;
+import org.jboss.logging.Logger;
+
+/** Sends messages to the other replicas. Safe for use by several threads. */
+final class Transport implements Closeable {
+    /**
+     * Longer than the silence after which a client drops its connection, so that a hello is pending until a silent
+     * partition is noticed.
+     */
+    private static final long HELLO_TIMEOUT_MILLIS = PeerClient.SILENCE_LIMIT_MILLIS + 1_000;
+
+    private static final Logger LOG = Logger.getLogger("cicadahead.raft");
+
+    private final MessageCatalog catalog;
+    private final Map<String, PeerClient> clients = new ConcurrentHashMap<>();
+    private final Map<ReplicaId, String> addresses = new ConcurrentHashMap<>();
+    private volatile boolean closed;
+
+    Transport(MessageCatalog catalog) {
+        this.catalog = catalog;
+    }
+
+    /** Takes note of who is at an address. */
+    void learn(ReplicaId id, String address) {
+        addresses.put(id, address);
+    }
+
+    void learn(Membership membership) {
+        for (Member member : membership.members()) {
+            addresses.putIfAbsent(member.id(), member.address());
+        }
+    }
+
+    /** Returns the address of a replica, or an empty text if it is not known. */
+    String address(ReplicaId id) {
+        return id == null ? "" : addresses.getOrDefault(id, "");
+    }
+
+    /** Sends a message if the address of its receiver is known; it may be lost. */
+    void send(RaftMessage message) {
+        String address = address(message.to());
+        if (address.isEmpty() || closed) {
+            return;
+        }
+        try {
+            client(address).send(message);
+        } catch (WireException | IllegalArgumentException e) {
+            LOG.errorf(e, "raft: Cannot send to %s", address);
+        }
+    }
+
+    CompletableFuture<RaftHelloReply> hello(String address, RaftHello hello) {
+        if (closed) {
+            return CompletableFuture.failedFuture(new IllegalStateException("the replica is stopped"));
+        }
+        try {
+            return client(address).call(hello, HELLO_TIMEOUT_MILLIS).thenApply(Transport::cast);
+        } catch (IllegalArgumentException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        clients.values().forEach(PeerClient::close);
+    }
+
+    private static RaftHelloReply cast(Message reply) {
+        return (RaftHelloReply) reply;
+    }
+
+    private PeerClient client(String address) {
+        return clients.computeIfAbsent(address, a -> PeerClient.to(parse(a), catalog));
+    }
+
+    private static InetSocketAddress parse(String address) {
+        int colon = address.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("The address must be host:port: " + address);
+        }
+        return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
+}
--- /dev/null
+++ b/raft/src/main/java/org/cicadahead/storage/Disk.java
@@ -0,0 +1,95 @@
+package org.cicadahead.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.AtomicMoveNotSupportedException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.zip.CRC32C;
+
+/** File operations that are durable when they return. */
+final class Disk {
+    /** Length and CRC32C before the content of a small file. */
+    private static final int HEADER_BYTES = 8;
+
+    private Disk() {}
+
+    /** Tells a full disk from other failures by the text of the operating system, as Java has no type for it. */
+    static StorageException failure(String what, IOException cause) {
+        String text = String.valueOf(cause.getMessage());
+        boolean full = text.contains("No space left") || text.contains("quota exceeded");
+        return new StorageException(
+                full ? StorageException.Kind.FULL : StorageException.Kind.FAILED,
+                "cannot " + what + ": " + text,
+                cause);
+    }
+
+    static int checksum(byte[] bytes, int offset, int length) {
+        CRC32C crc = new CRC32C();
+        crc.update(bytes, offset, length);
+        return (int) crc.getValue();
+    }
+
+    static void writeFully(FileChannel channel, ByteBuffer bytes) throws IOException {
+        while (bytes.hasRemaining()) {
+            channel.write(bytes);
+        }
+    }
+
+    static void syncFolder(Path folder) throws IOException {
+        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+    }
+
+    static void move(Path from, Path to) throws IOException {
+        try {
+            Files.move(from, to, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        } catch (AtomicMoveNotSupportedException e) {
+            throw new IOException("the file system cannot replace a file atomically", e);
+        }
+        syncFolder(to.toAbsolutePath().getParent());
+    }
+
+    /** Replaces a small file as a whole, with a checksum. */
+    static void replace(Path file, byte[] content) throws IOException {
+        Path temporary = file.resolveSibling(file.getFileName() + ".tmp");
+        ByteBuffer bytes = ByteBuffer.allocate(HEADER_BYTES + content.length);
+        bytes.putInt(content.length)
+                .putInt(checksum(content, 0, content.length))
+                .put(content)
+                .flip();
+        try (FileChannel channel = FileChannel.open(
+                temporary, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+            writeFully(channel, bytes);
+            channel.force(true);
+        }
+        move(temporary, file);
+    }
+
+    /** Returns the content of a small file, or null if there is none. */
+    static byte[] read(Path file) throws IOException, StorageException {
+        byte[] bytes;
+        try {
+            bytes = Files.readAllBytes(file);
+        } catch (NoSuchFileException e) {
+            return null;
+        }
+        if (bytes.length >= HEADER_BYTES) {
+            ByteBuffer header = ByteBuffer.wrap(bytes);
+            int length = header.getInt();
+            int crc = header.getInt();
+            if (length == bytes.length - HEADER_BYTES && crc == checksum(bytes, HEADER_BYTES, length)) {
+                byte[] content = new byte[length];
+                header.get(content);
+                return content;
+            }
+        }
+        throw new StorageException(
+                StorageException.Kind.CORRUPT, "the file " + file.getFileName() + " is corrupt", null);
+    }
+}
--- /dev/null
+++ b/raft/src/main/java/org/cicadahead/storage/LogStore.java
@@ -0,0 +1,319 @@
+package org.cicadahead.storage;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import org.cicadahead.raft.HardState;
+import org.cicadahead.raft.LogEntry;
+import org.cicadahead.raft.ReplicaId;
+import org.cicadahead.raft.SnapshotHead;
+import org.cicadahead.wire.Codec;
+import org.cicadahead.wire.WireException;
+import org.jboss.logging.Logger;
+
+/**
+ * The log and the hard state of a replica in files. Used by one thread.
+ *
+ * <p>After an exception the store must not be written any more; after a restart it holds all that was synced. It is
+ * opened by {@link ReplicaFolder#open}.
+ */
+public final class LogStore implements Closeable {
+    static final String STATE_FILE = "hard-state";
+
+    private static final Logger LOG = Logger.getLogger("cicadahead.raft");
+
+    private final Path folder;
+    private final long segmentBytes;
+    private final Deque<Segment> segments = new ArrayDeque<>();
+    private HardState hardState = HardState.INITIAL;
+    private List<LogEntry> recovered = List.of();
+    private boolean firstAfterSync = true;
+    private boolean unsynced;
+
+    /** The hard state with the first index of the last segment, so that a missing file is noticed. */
+    private record StoredState(long term, ReplicaId vote, long lastSegment) {}
+
+    private LogStore(Path folder, long segmentBytes) {
+        this.folder = folder;
+        this.segmentBytes = segmentBytes;
+    }
+
+    /** Creates the files of a new replica. */
+    static LogStore create(Path folder, long segmentBytes) throws StorageException {
+        LogStore store = new LogStore(folder, segmentBytes);
+        store.guard("create the log", () -> {
+            store.segments.add(Segment.create(folder, 1));
+            store.saveState(HardState.INITIAL, 1);
+        });
+        return store;
+    }
+
+    /** Reads the files of a replica. */
+    static LogStore recover(Path folder, long segmentBytes, SnapshotHead head) throws StorageException {
+        LogStore store = new LogStore(folder, segmentBytes);
+        store.guard("recover the log", () -> store.recover(head));
+        return store;
+    }
+
+    static boolean holdsData(Path folder) throws IOException, StorageException {
+        for (Path file : segmentFiles(folder).values()) {
+            if (Files.size(file) > Segment.HEADER_BYTES) {
+                return true;
+            }
+        }
+        byte[] state = Disk.read(folder.resolve(STATE_FILE));
+        return state != null && decode(state).term() > 0;
+    }
+
+    /**
+     * Returns the hard state.
+     *
+     * @return the hard state
+     */
+    public HardState hardState() {
+        return hardState;
+    }
+
+    /**
+     * Returns the entries that were found, after the snapshot. They are returned once only.
+     *
+     * @return the entries
+     */
+    public List<LogEntry> takeRecovered() {
+        List<LogEntry> entries = recovered;
+        recovered = List.of();
+        return entries;
+    }
+
+    /**
+     * Writes and syncs the hard state.
+     *
+     * @param next the hard state
+     * @throws StorageException if it cannot be written
+     */
+    public void save(HardState next) throws StorageException {
+        guard("write the hard state", () -> saveState(next, segments.getLast().base()));
+    }
+
+    /**
+     * Writes entries behind the last one. They are durable after {@link #sync()}.
+     *
+     * @param entries the entries
+     * @throws StorageException if they cannot be written
+     */
+    public void append(List<LogEntry> entries) throws StorageException {
+        guard("write the log", () -> {
+            List<byte[]> records = new ArrayList<>();
+            for (LogEntry entry : entries) {
+                records.add(Segment.encode(entry, firstAfterSync));
+                firstAfterSync = false;
+                unsynced = true;
+            }
+            segments.getLast().write(records);
+            if (segments.getLast().size() >= segmentBytes) {
+                roll();
+            }
+        });
+    }
+
+    /**
+     * Syncs what was appended.
+     *
+     * @return whether there was anything to sync
+     * @throws StorageException if the disk reports an error; the entries may or may not be durable
+     */
+    public boolean sync() throws StorageException {
+        if (!unsynced) {
+            return false;
+        }
+        guard("sync the log", () -> segments.getLast().sync());
+        unsynced = false;
+        firstAfterSync = true;
+        return true;
+    }
+
+    /**
+     * Removes entries at the end, and syncs.
+     *
+     * @param index the first entry to remove
+     * @throws StorageException if they cannot be removed
+     */
+    public void truncateFrom(long index) throws StorageException {
+        guard("truncate the log", () -> {
+            List<Segment> later = new ArrayList<>();
+            while (segments.size() > 1 && segments.getLast().base() > index) {
+                later.add(segments.removeLast());
+            }
+            if (!later.isEmpty()) {
+                saveState(hardState, segments.getLast().base());
+            }
+            segments.getLast().truncateFrom(index);
+            for (Segment segment : later) {
+                delete(segment);
+            }
+            firstAfterSync = true;
+        });
+    }
+
+    /**
+     * Removes segments that a snapshot makes unnecessary.
+     *
+     * @param index entries up to this one are not needed
+     * @throws StorageException if they cannot be removed
+     */
+    public void compact(long index) throws StorageException {
+        guard("remove old log files", () -> {
+            while (segments.size() > 1 && segments.getFirst().next() <= index + 1) {
+                delete(segments.removeFirst());
+            }
+        });
+    }
+
+    /**
+     * Removes all entries, so that the log begins behind a snapshot.
+     *
+     * @param head what the snapshot covers
+     * @throws StorageException if the files cannot be replaced
+     */
+    public void reset(SnapshotHead head) throws StorageException {
+        guard("replace the log", () -> {
+            List<Segment> old = new ArrayList<>(segments);
+            Segment next = Segment.create(folder, head.index() + 1);
+            segments.clear();
+            segments.add(next);
+            saveState(hardState, next.base());
+            for (Segment segment : old) {
+                segment.close();
+                if (!segment.file().equals(next.file())) {
+                    Files.deleteIfExists(segment.file());
+                }
+            }
+            unsynced = false;
+            firstAfterSync = true;
+        });
+    }
+
+    @Override
+    public void close() {
+        for (Segment segment : segments) {
+            try {
+                segment.close();
+            } catch (IOException e) {
+                LOG.debugf(e, "raft: Cannot close %s", segment.file());
+            }
+        }
+    }
+
+    private interface Operation {
+        void run() throws IOException, StorageException;
+    }
+
+    private void guard(String what, Operation operation) throws StorageException {
+        try {
+            operation.run();
+        } catch (IOException e) {
+            throw Disk.failure(what, e);
+        }
+    }
+
+    private static TreeMap<Long, Path> segmentFiles(Path folder) throws IOException {
+        TreeMap<Long, Path> files = new TreeMap<>();
+        try (Stream<Path> list = Files.list(folder)) {
+            list.filter(f -> Segment.baseOf(f) >= 0).forEach(f -> files.put(Segment.baseOf(f), f));
+        }
+        return files;
+    }
+
+    private static StoredState decode(byte[] bytes) throws StorageException {
+        try {
+            return Codec.unpack(bytes, StoredState.class);
+        } catch (WireException e) {
+            throw new StorageException(StorageException.Kind.CORRUPT, "the hard state is corrupt", e);
+        }
+    }
+
+    private static StorageException corrupt(String text) {
+        return new StorageException(
+                StorageException.Kind.CORRUPT,
+                text + "; empty the data folder to let the replica join again as a learner",
+                null);
+    }
+
+    private void saveState(HardState next, long lastSegment) throws IOException, StorageException {
+        try {
+            Disk.replace(
+                    folder.resolve(STATE_FILE), Codec.pack(new StoredState(next.term(), next.vote(), lastSegment)));
+        } catch (WireException e) {
+            throw new StorageException(StorageException.Kind.FAILED, "cannot encode the hard state", e);
+        }
+        hardState = next;
+    }
+
+    private void roll() throws IOException, StorageException {
+        Segment full = segments.getLast();
+        full.sync();
+        segments.add(Segment.create(folder, full.next()));
+        saveState(hardState, segments.getLast().base());
+        unsynced = false;
+        firstAfterSync = true;
+    }
+
+    private void recover(SnapshotHead head) throws IOException, StorageException {
+        byte[] bytes = Disk.read(folder.resolve(STATE_FILE));
+        if (bytes == null) {
+            throw corrupt("the hard state is missing");
+        }
+        StoredState stored = decode(bytes);
+        hardState = new HardState(stored.term(), stored.vote());
+        TreeMap<Long, Path> files = segmentFiles(folder);
+        // Files behind the last one are left from a roll or a truncation that did not finish.
+        for (Path left : files.tailMap(stored.lastSegment(), false).values()) {
+            Files.delete(left);
+        }
+        files.tailMap(stored.lastSegment(), false).clear();
+        if (files.isEmpty() || files.lastKey() != stored.lastSegment()) {
+            throw corrupt("the log file from entry " + stored.lastSegment() + " on is missing");
+        }
+        Long start = files.floorKey(head.index() + 1);
+        if (start == null) {
+            throw corrupt("the log begins at entry " + files.firstKey() + " but the snapshot ends at " + head.index());
+        }
+        List<LogEntry> entries = new ArrayList<>();
+        for (Map.Entry<Long, Path> file : files.tailMap(start, true).entrySet()) {
+            if (!segments.isEmpty() && segments.getLast().next() != file.getKey()) {
+                throw corrupt("the log file from entry " + segments.getLast().next() + " on is missing or cut");
+            }
+            segments.add(Segment.open(file.getValue(), file.getKey() == stored.lastSegment(), entries));
+        }
+        for (Path old : files.headMap(start, false).values()) {
+            Files.delete(old);
+        }
+        match(head, entries);
+    }
+
+    /** Keeps the entries after the snapshot if they continue it; otherwise an installation did not finish. */
+    private void match(SnapshotHead head, List<LogEntry> entries) throws StorageException {
+        long last = segments.getLast().next() - 1;
+        boolean continues = last >= head.index()
+                && entries.stream().filter(e -> e.index() == head.index()).allMatch(e -> e.term() == head.term());
+        if (continues) {
+            recovered = entries.stream().filter(e -> e.index() > head.index()).toList();
+        } else {
+            LOG.infof("raft: The log is replaced by the snapshot that ends at entry %d", head.index());
+            reset(head);
+        }
+    }
+
+    private static void delete(Segment segment) throws IOException {
+        segment.close();
+        Files.deleteIfExists(segment.file());
+    }
+}
--- /dev/null
+++ b/raft/src/main/java/org/cicadahead/storage/ReplicaFolder.java
@@ -0,0 +1,153 @@
+package org.cicadahead.storage;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.stream.Stream;
+import org.cicadahead.raft.ReplicaId;
+import org.cicadahead.raft.SnapshotHead;
+import org.jboss.logging.Logger;
+
+/**
+ * The data folder of a replica, locked against a second process. The first use is {@link #open(Path, long)}.
+ *
+ * <p>The replica id is written after all other files of a new replica, so that a folder with an id is complete and a
+ * missing file is noticed. A folder without an id but with data is refused, as its replica may have voted.
+ */
+public final class ReplicaFolder implements Closeable {
+    static final String ID_FILE = "replica-id";
+
+    private static final Logger LOG = Logger.getLogger("cicadahead.raft");
+    private static final int ID_BYTES = 16;
+
+    private final FileChannel lock;
+    private final ReplicaId id;
+    private final LogStore log;
+    private final SnapshotStore snapshots;
+
+    private ReplicaFolder(FileChannel lock, ReplicaId id, LogStore log, SnapshotStore snapshots) {
+        this.lock = lock;
+        this.id = id;
+        this.log = log;
+        this.snapshots = snapshots;
+    }
+
+    /**
+     * Opens a folder, and creates the files of a new replica if it is empty.
+     *
+     * @param folder the folder; created if it does not exist
+     * @param segmentBytes the size at which a new log file is begun, in bytes
+     * @return the folder
+     * @throws StorageException if the files are corrupt, in use by another process, or cannot be read
+     */
+    public static ReplicaFolder open(Path folder, long segmentBytes) throws StorageException {
+        try {
+            Files.createDirectories(folder);
+            FileChannel lock =
+                    FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+            try {
+                lock(lock);
+                removeTemporaries(folder);
+                return open(folder, segmentBytes, lock);
+            } catch (IOException | StorageException | RuntimeException e) {
+                lock.close();
+                throw e;
+            }
+        } catch (IOException e) {
+            throw Disk.failure("open the data folder", e);
+        }
+    }
+
+    /**
+     * Returns the replica id.
+     *
+     * @return the id
+     */
+    public ReplicaId id() {
+        return id;
+    }
+
+    /**
+     * Returns the log.
+     *
+     * @return the log
+     */
+    public LogStore log() {
+        return log;
+    }
+
+    /**
+     * Returns the snapshots.
+     *
+     * @return the snapshots
+     */
+    public SnapshotStore snapshots() {
+        return snapshots;
+    }
+
+    /** Closes the files. */
+    @Override
+    public void close() {
+        log.close();
+        try {
+            lock.close();
+        } catch (IOException e) {
+            LOG.debugf(e, "raft: Cannot release the lock of the data folder");
+        }
+    }
+
+    private static void lock(FileChannel channel) throws IOException, StorageException {
+        try {
+            if (channel.tryLock() != null) {
+                return;
+            }
+        } catch (OverlappingFileLockException e) {
+            throw new StorageException(StorageException.Kind.FAILED, "the data folder is in use", e);
+        }
+        throw new StorageException(StorageException.Kind.FAILED, "the data folder is in use", null);
+    }
+
+    private static void removeTemporaries(Path folder) throws IOException {
+        List<Path> files;
+        try (Stream<Path> list = Files.list(folder)) {
+            files = list.filter(f -> f.getFileName().toString().endsWith(".tmp"))
+                    .toList();
+        }
+        for (Path file : files) {
+            Files.delete(file);
+        }
+    }
+
+    private static ReplicaFolder open(Path folder, long segmentBytes, FileChannel lock)
+            throws IOException, StorageException {
+        SnapshotStore snapshots = SnapshotStore.open(folder);
+        SnapshotHead head = snapshots.latest();
+        byte[] stored = Disk.read(folder.resolve(ID_FILE));
+        if (stored != null) {
+            ReplicaId id = ReplicaId.of(new String(stored, StandardCharsets.US_ASCII));
+            return new ReplicaFolder(lock, id, LogStore.recover(folder, segmentBytes, head), snapshots);
+        }
+        if (head.index() > 0 || LogStore.holdsData(folder)) {
+            throw new StorageException(
+                    StorageException.Kind.CORRUPT,
+                    "the replica id is missing but the data folder holds a log; empty the folder to let the replica"
+                            + " join again as a learner",
+                    null);
+        }
+        LogStore log = LogStore.create(folder, segmentBytes);
+        byte[] random = new byte[ID_BYTES];
+        new SecureRandom().nextBytes(random);
+        ReplicaId id = ReplicaId.of(HexFormat.of().formatHex(random));
+        Disk.replace(folder.resolve(ID_FILE), id.value().getBytes(StandardCharsets.US_ASCII));
+        LOG.infof("raft: The data folder is empty, the new replica id is %s", id);
+        return new ReplicaFolder(lock, id, log, snapshots);
+    }
+}
--- /dev/null
+++ b/raft/src/main/java/org/cicadahead/storage/SnapshotStore.java
@@ -0,0 +1,315 @@
+package org.cicadahead.storage;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.ByteBuffer;
+import java.nio.channels.Channels;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import java.util.zip.CRC32C;
+import java.util.zip.CheckedInputStream;
+import java.util.zip.CheckedOutputStream;
+import org.cicadahead.raft.RaftSnapshot;
+import org.cicadahead.raft.SnapshotHead;
+import org.cicadahead.wire.Codec;
+import org.cicadahead.wire.WireException;
+
+/**
+ * The snapshots of a replica in files. Safe for use by several threads.
+ *
+ * <p>A file is the length and the MessagePack of the head, the state, and a CRC32C of all before. A chunk that is sent
+ * to another replica is a part of the file, so that the receiver checks the same sum.
+ */
+public final class SnapshotStore {
+    private static final Pattern NAME = Pattern.compile("snapshot-(\\d{20})\\.snap");
+    private static final int CRC_BYTES = 4;
+    private static final int MAX_HEAD_BYTES = 1024 * 1024;
+    private static final String INCOMING = "incoming.tmp";
+
+    private final Path folder;
+    private SnapshotHead latest = SnapshotHead.NONE;
+    private SnapshotHead incoming;
+    private long received;
+
+    /** Writes the state of a snapshot. */
+    public interface Content {
+        /**
+         * Writes the state.
+         *
+         * @param out takes the bytes; not closed
+         * @throws IOException if it cannot be written
+         */
+        void write(OutputStream out) throws IOException;
+    }
+
+    /** Reads the state of a snapshot. */
+    public interface Reader {
+        /**
+         * Reads the state.
+         *
+         * @param in gives the bytes; not closed
+         * @throws IOException if it cannot be read
+         */
+        void read(InputStream in) throws IOException;
+    }
+
+    private SnapshotStore(Path folder) {
+        this.folder = folder;
+    }
+
+    /** Finds and checks the latest snapshot, and removes older ones. */
+    static SnapshotStore open(Path folder) throws StorageException {
+        SnapshotStore store = new SnapshotStore(folder);
+        try {
+            TreeMap<Long, Path> files = store.files();
+            if (!files.isEmpty()) {
+                store.latest = check(files.lastEntry().getValue());
+                store.removeOld();
+            }
+        } catch (IOException e) {
+            throw Disk.failure("read the snapshots", e);
+        }
+        return store;
+    }
+
+    /**
+     * Returns what the latest snapshot covers.
+     *
+     * @return what it covers; {@link SnapshotHead#NONE} if there is none
+     */
+    public synchronized SnapshotHead latest() {
+        return latest;
+    }
+
+    /**
+     * Writes a snapshot, syncs it and removes older ones. An older snapshot than the latest is ignored.
+     *
+     * @param head what it covers
+     * @param content the state
+     * @throws StorageException if it cannot be written; the earlier snapshot stays
+     */
+    public void write(SnapshotHead head, Content content) throws StorageException {
+        Path temporary = folder.resolve("snapshot.tmp");
+        try {
+            try (FileChannel channel = FileChannel.open(
+                    temporary,
+                    StandardOpenOption.CREATE,
+                    StandardOpenOption.TRUNCATE_EXISTING,
+                    StandardOpenOption.WRITE)) {
+                CheckedOutputStream sum = new CheckedOutputStream(
+                        new BufferedOutputStream(Channels.newOutputStream(channel)), new CRC32C());
+                DataOutputStream out = new DataOutputStream(sum);
+                byte[] packed = Codec.pack(head);
+                out.writeInt(packed.length);
+                out.write(packed);
+                content.write(out);
+                out.flush();
+                out.writeInt((int) sum.getChecksum().getValue());
+                out.flush();
+                channel.force(true);
+            }
+            publish(temporary, head);
+        } catch (IOException e) {
+            discard(temporary, e);
+            throw Disk.failure("write a snapshot", e);
+        } catch (WireException e) {
+            throw new StorageException(StorageException.Kind.FAILED, "cannot encode the head of a snapshot", e);
+        }
+    }
+
+    /**
+     * Reads the state of the latest snapshot.
+     *
+     * @param reader takes the state
+     * @return what the snapshot covers
+     * @throws StorageException if it cannot be read
+     */
+    public SnapshotHead read(Reader reader) throws StorageException {
+        SnapshotHead head;
+        Path file;
+        InputStream opened;
+        long size;
+        try {
+            synchronized (this) {
+                head = latest;
+                file = path(head.index());
+                size = Files.size(file);
+                opened = Files.newInputStream(file);
+            }
+            try (InputStream in = new BufferedInputStream(opened)) {
+                DataInputStream data = new DataInputStream(in);
+                int headBytes = data.readInt();
+                data.skipNBytes(headBytes);
+                reader.read(new LimitedInputStream(data, size - CRC_BYTES - headBytes - Integer.BYTES));
+            }
+            return head;
+        } catch (IOException e) {
+            throw Disk.failure("read the snapshot", e);
+        }
+    }
+
+    /**
+     * A part of a snapshot file.
+     *
+     * @param data the bytes
+     * @param last whether nothing follows
+     */
+    public record Chunk(byte[] data, boolean last) {}
+
+    /**
+     * Reads a chunk of the latest snapshot.
+     *
+     * @param head the snapshot to be sent
+     * @param offset the position in bytes
+     * @param maxBytes the most bytes to read
+     * @return the chunk, or null if there is a later snapshot by now
+     * @throws StorageException if it cannot be read
+     */
+    public Chunk chunk(SnapshotHead head, long offset, int maxBytes) throws StorageException {
+        if (latest().index() != head.index()) {
+            return null;
+        }
+        try (FileChannel channel = FileChannel.open(path(head.index()), StandardOpenOption.READ)) {
+            long size = channel.size();
+            int length = (int) Math.max(0, Math.min(maxBytes, size - offset));
+            ByteBuffer buffer = ByteBuffer.allocate(length);
+            long position = offset;
+            while (buffer.hasRemaining()) {
+                int read = channel.read(buffer, position);
+                if (read < 0) {
+                    throw new IOException("the file has become shorter");
+                }
+                position += read;
+            }
+            return new Chunk(buffer.array(), offset + length >= size);
+        } catch (IOException e) {
+            throw Disk.failure("read a snapshot", e);
+        }
+    }
+
+    /**
+     * Stores a chunk from the leader. Chunks out of order are ignored.
+     *
+     * @param chunk the chunk
+     * @return the position of the chunk that is expected next, in bytes, or -1 if the snapshot is complete and synced
+     * @throws StorageException if it cannot be written
+     */
+    public synchronized long receive(RaftSnapshot chunk) throws StorageException {
+        Path file = folder.resolve(INCOMING);
+        if (!chunk.head().equals(incoming)) {
+            incoming = chunk.head();
+            received = 0;
+        }
+        if (chunk.offset() != received) {
+            return received;
+        }
+        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            channel.truncate(received);
+            channel.position(received);
+            Disk.writeFully(channel, ByteBuffer.wrap(chunk.data()));
+            received += chunk.data().length;
+            if (!chunk.last()) {
+                return received;
+            }
+            channel.force(true);
+        } catch (IOException e) {
+            throw Disk.failure("store a chunk of a snapshot", e);
+        }
+        incoming = null;
+        received = 0;
+        try {
+            if (!check(file).equals(chunk.head())) {
+                return 0;
+            }
+            publish(file, chunk.head());
+            return -1;
+        } catch (StorageException e) {
+            // A damaged transfer starts again; it has replaced nothing.
+            return 0;
+        } catch (IOException e) {
+            throw Disk.failure("store a snapshot", e);
+        }
+    }
+
+    private static SnapshotHead check(Path file) throws IOException, StorageException {
+        StorageException corrupt = new StorageException(
+                StorageException.Kind.CORRUPT,
+                "the snapshot " + file.getFileName()
+                        + " is corrupt; empty the data folder to let the replica join again as a learner",
+                null);
+        long size = Files.size(file);
+        if (size < Integer.BYTES + CRC_BYTES) {
+            throw corrupt;
+        }
+        try (InputStream in = new BufferedInputStream(Files.newInputStream(file))) {
+            CheckedInputStream sum = new CheckedInputStream(new LimitedInputStream(in, size - CRC_BYTES), new CRC32C());
+            DataInputStream data = new DataInputStream(sum);
+            int length = data.readInt();
+            if (length < 0 || length > MAX_HEAD_BYTES || length > size) {
+                throw corrupt;
+            }
+            byte[] packed = data.readNBytes(length);
+            data.transferTo(OutputStream.nullOutputStream());
+            int stored = new DataInputStream(in).readInt();
+            if (stored != (int) sum.getChecksum().getValue()) {
+                throw corrupt;
+            }
+            return Codec.unpack(packed, SnapshotHead.class);
+        } catch (WireException e) {
+            corrupt.initCause(e);
+            throw corrupt;
+        }
+    }
+
+    private Path path(long index) {
+        return folder.resolve(String.format("snapshot-%020d.snap", index));
+    }
+
+    private TreeMap<Long, Path> files() throws IOException {
+        TreeMap<Long, Path> files = new TreeMap<>();
+        try (Stream<Path> list = Files.list(folder)) {
+            list.forEach(file -> {
+                Matcher matcher = NAME.matcher(file.getFileName().toString());
+                if (matcher.matches()) {
+                    files.put(Long.parseLong(matcher.group(1)), file);
+                }
+            });
+        }
+        return files;
+    }
+
+    private synchronized void publish(Path temporary, SnapshotHead head) throws IOException {
+        if (head.index() <= latest.index()) {
+            Files.delete(temporary);
+            return;
+        }
+        Disk.move(temporary, path(head.index()));
+        latest = head;
+        removeOld();
+    }
+
+    private void removeOld() throws IOException {
+        for (Path old : files().headMap(latest.index(), false).values()) {
+            Files.delete(old);
+        }
+    }
+
+    private static void discard(Path file, IOException cause) {
+        try {
+            Files.deleteIfExists(file);
+        } catch (IOException e) {
+            cause.addSuppressed(e);
+        }
+    }
+}
--- /dev/null
+++ b/raft/src/test/java/org/cicadahead/replication/TestGroup.java
@@ -0,0 +1,171 @@
+package org.cicadahead.replication;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import org.cicadahead.protocol.Command;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.protocol.MessageCatalog;
+import org.cicadahead.wire.PeerHandler;
+import org.cicadahead.wire.PeerServer;
+import org.cicadahead.wire.WireException;
+
+/** A group of replicas in this process, over loopback connections. */
+final class TestGroup implements Closeable {
+    static final MessageCatalog CATALOG = ReplicatedNode.catalog(MessageCatalog.standard()
+            .with(List.of(
+                    RegisterMachine.SetValue.class, RegisterMachine.ReadValue.class, RegisterMachine.Value.class)));
+    private static final long LIMIT_SECONDS = 20;
+
+    final List<Replica> replicas = new ArrayList<>();
+    private final List<String> addresses = new ArrayList<>();
+    private final Path folder;
+    private final ExecutorService workers = Executors.newFixedThreadPool(4);
+
+    /** One replica, which may be stopped and started. */
+    final class Replica {
+        final Path data;
+        final String address;
+        volatile boolean cut;
+        RegisterMachine machine;
+        ReplicatedNode node;
+        private PeerServer server;
+
+        Replica(Path data, String address) {
+            this.data = data;
+            this.address = address;
+        }
+
+        void start() throws Exception {
+            start(20_000, 2_000);
+        }
+
+        void start(long snapshotEntries, long keep) throws Exception {
+            machine = new RegisterMachine();
+            node = ReplicatedNode.start(
+                    ReplicationConfig.of(data, address, addresses, true).withSnapshots(snapshotEntries, keep),
+                    machine,
+                    CATALOG);
+            ReplicatedNode current = node;
+            PeerHandler handler = (request, responder) -> {
+                if (cut) {
+                    throw new WireException(WireException.Kind.REMOTE, "cut off");
+                }
+                current.handle(request, responder);
+            };
+            int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
+            server = PeerServer.start(
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), port), CATALOG, workers, handler);
+        }
+
+        void stop() {
+            if (node != null) {
+                server.close();
+                node.close();
+                node = null;
+            }
+        }
+
+        void empty() throws IOException {
+            try (Stream<Path> files = Files.list(data)) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+            }
+        }
+    }
+
+    TestGroup(Path folder, int size) throws IOException {
+        this.folder = folder;
+        for (int i = 0; i < size; i++) {
+            newReplica();
+        }
+    }
+
+    Replica newReplica() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            String address = "127.0.0.1:" + free.getLocalPort();
+            addresses.add(address);
+            Replica replica = new Replica(folder.resolve("r" + replicas.size()), address);
+            replicas.add(replica);
+            return replica;
+        }
+    }
+
+    TestGroup startAll() throws Exception {
+        for (Replica replica : replicas) {
+            replica.start();
+        }
+        return this;
+    }
+
+    static void await(String what, BooleanSupplier condition) {
+        long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > limit) {
+                throw new AssertionError("not in time: " + what);
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(2));
+        }
+    }
+
+    Replica leader() {
+        Replica[] found = new Replica[1];
+        await("a leader with a lease", () -> {
+            for (Replica replica : replicas) {
+                if (replica.node != null && replica.node.holdsLease(ReplicatedNode.monotonicMillis())) {
+                    found[0] = replica;
+                }
+            }
+            return found[0] != null;
+        });
+        return found[0];
+    }
+
+    /** Proposes to whoever leads, until it is certainly committed. */
+    Message propose(Command command) throws Exception {
+        long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+        while (true) {
+            try {
+                return leader().node.propose(command).get(LIMIT_SECONDS, TimeUnit.SECONDS);
+            } catch (ExecutionException e) {
+                if (System.nanoTime() > limit) {
+                    throw e;
+                }
+            }
+        }
+    }
+
+    static RegisterMachine.SetValue set(long value) {
+        return new RegisterMachine.SetValue(value, new byte[0]);
+    }
+
+    void awaitSameState() {
+        Replica leader = leader();
+        await(
+                "the same state on all replicas",
+                () -> replicas.stream()
+                        .filter(r -> r.node != null)
+                        .allMatch(r -> r.machine.count() == leader.machine.count()
+                                && r.machine.digest() == leader.machine.digest()));
+    }
+
+    @Override
+    public void close() {
+        replicas.forEach(Replica::stop);
+        workers.shutdownNow();
+    }
+}
