--- a/testbed/src/main/java/org/cicadahead/testbed/ExampleResources.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/ExampleResources.java
@@ -5,13 +5,13 @@
 import org.cicadahead.testbed.fleet.FleetException;
 
 /** The routes, pools and organisations that the test bed applies. */
-final class ExampleResources {
+public final class ExampleResources {
     /** The organisation that calls. */
-    static final String ORGANISATION = "acme";
+    public static final String ORGANISATION = "acme";
     /** The route to the emulated engines. */
-    static final String MODEL_ROUTE = "assistant";
+    public static final String MODEL_ROUTE = "assistant";
     /** The route to the emulated services, whose calls may not be repeated. */
-    static final String SERVICE_ROUTE = "booking";
+    public static final String SERVICE_ROUTE = "booking";
 
     private ExampleResources() {}
 
@@ -24,7 +24,7 @@
      * @return the output of {@code cicadactl}
      * @throws FleetException if they are refused
      */
-    static String apply(Fleet fleet, double ratePerSecond, long burst) throws FleetException {
+    public static String apply(Fleet fleet, double ratePerSecond, long burst) throws FleetException {
         String text = """
                 [[organisations]]
                 name = "%s"
@@ -77,7 +77,7 @@
      * @return the key
      * @throws FleetException if it is refused
      */
-    static String issueKey(Fleet fleet) throws FleetException {
+    public static String issueKey(Fleet fleet) throws FleetException {
         String output = fleet.ctl("keys", "create", ORGANISATION, "-o", "json")
                 .orThrow("cicadactl keys create")
                 .output();
