--- /dev/null
+++ b/endpoint/src/main/java/org/cicadahead/endpoint/Poison.java
@@ -0,0 +1,34 @@
+package org.cicadahead.endpoint;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.cicadahead.model.RequestDigest;
+import org.cicadahead.protocol.PoisonEntry;
+import org.cicadahead.protocol.PoisonTable;
+
+/** The replica of control's poison table. Safe for use by several threads. */
+final class Poison {
+    private volatile Map<RequestDigest, PoisonEntry> entries = Map.of();
+    private volatile long version;
+
+    void replace(PoisonTable table) {
+        Map<RequestDigest, PoisonEntry> next = new HashMap<>();
+        table.entries().forEach(entry -> next.put(entry.digest(), entry));
+        entries = Map.copyOf(next);
+        version = table.version();
+    }
+
+    long version() {
+        return version;
+    }
+
+    boolean isRefused(RequestDigest digest) {
+        PoisonEntry entry = digest == null ? null : entries.get(digest);
+        return entry != null && entry.refused();
+    }
+
+    /** Returns whether the digest was running at a crash, so that its next run must be alone. */
+    boolean isSuspect(RequestDigest digest) {
+        return digest != null && entries.containsKey(digest);
+    }
+}
--- /dev/null
+++ b/endpoint/src/main/java/org/cicadahead/engine/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP client of model engines. */
+package org.cicadahead.engine;
--- /dev/null
+++ b/endpoint/src/main/java/org/cicadahead/service/ServiceCall.java
@@ -0,0 +1,28 @@
+package org.cicadahead.service;
+
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * A call of a service. Immutable but for the array, which must not be changed.
+ *
+ * @param method the HTTP method
+ * @param path the path with query
+ * @param headers the headers of the caller, of which only a fixed list is forwarded
+ * @param body the body
+ * @param timeoutMillis after this time, in milliseconds, the call is given up
+ */
+public record ServiceCall(String method, String path, Map<String, String> headers, byte[] body, long timeoutMillis) {
+
+    /**
+     * Checks the values.
+     *
+     * @throws NullPointerException if the method or the path is null
+     */
+    public ServiceCall {
+        Objects.requireNonNull(method, "The method must not be null");
+        Objects.requireNonNull(path, "The path must not be null");
+        headers = Map.copyOf(headers);
+        body = body == null ? new byte[0] : body;
+    }
+}
--- /dev/null
+++ b/endpoint/src/main/java/org/cicadahead/service/ServiceClient.java
@@ -0,0 +1,105 @@
+package org.cicadahead.service;
+
+import java.net.URI;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+
+/**
+ * Calls one plain HTTP service. Safe for use by several threads; nothing here blocks.
+ *
+ * <p>A call is sent exactly once: redirects are not followed, and each call has a connection of its own, as a pooled
+ * one may turn out to be closed after the request was written, which would leave the outcome unknown.
+ */
+public final class ServiceClient {
+    /** A longer answer could not be recorded as the outcome of a claim. */
+    public static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+
+    private static final Set<String> FORWARDED = Set.of("content-type", "idempotency-key", "accept");
+
+    private final HttpClient http;
+    private final URI target;
+
+    private ServiceClient(HttpClient http, URI target) {
+        this.http = Objects.requireNonNull(http, "The client must not be null");
+        this.target = Objects.requireNonNull(target, "The target must not be null");
+    }
+
+    /**
+     * Returns a client for a service.
+     *
+     * @param http a started HTTP client without redirects and protocol handlers, which the caller closes
+     * @param target the base address of the service
+     * @return the client
+     */
+    public static ServiceClient to(HttpClient http, URI target) {
+        return new ServiceClient(http, target);
+    }
+
+    /**
+     * Calls the service once.
+     *
+     * @param call the call
+     * @return the answer; fails with a {@link ServiceException}
+     */
+    public CompletableFuture<ServiceAnswer> call(ServiceCall call) {
+        CompletableFuture<ServiceAnswer> answer = new CompletableFuture<>();
+        AtomicBoolean begun = new AtomicBoolean();
+        Request request;
+        try {
+            request = request(call);
+        } catch (IllegalArgumentException e) {
+            return CompletableFuture.failedFuture(new ServiceException(false, "the call is malformed", e));
+        }
+        request.onRequestBegin(r -> begun.set(true)).send(new BufferingResponseListener(MAX_ANSWER_BYTES) {
+            @Override
+            public void onComplete(Result result) {
+                if (result.isSucceeded()) {
+                    byte[] body = getContent();
+                    answer.complete(new ServiceAnswer(
+                            result.getResponse().getStatus(),
+                            Objects.requireNonNullElse(
+                                    result.getResponse().getHeaders().get("Content-Type"), ""),
+                            body == null ? new byte[0] : body));
+                } else {
+                    answer.completeExceptionally(new ServiceException(
+                            begun.get(), "the service gave no complete answer", result.getFailure()));
+                }
+            }
+        });
+        return answer;
+    }
+
+    private Request request(ServiceCall call) {
+        String base = target.toString();
+        String prefix = base.endsWith("/") ? base.substring(0, base.length() - 1) : base;
+        String path = call.path().startsWith("/") ? call.path() : "/" + call.path();
+        Request request = http.newRequest(URI.create(prefix + path))
+                .method(call.method())
+                .timeout(Math.max(1, call.timeoutMillis()), TimeUnit.MILLISECONDS)
+                .headers(headers -> headers.put("Connection", "close"));
+        String contentType = null;
+        for (Map.Entry<String, String> header : call.headers().entrySet()) {
+            String name = header.getKey().toLowerCase(Locale.ROOT);
+            if (name.equals("content-type")) {
+                contentType = header.getValue();
+            } else if (FORWARDED.contains(name)) {
+                request.headers(headers -> headers.put(header.getKey(), header.getValue()));
+            }
+        }
+        if (call.body().length > 0) {
+            request.body(new BytesRequestContent(
+                    Objects.requireNonNullElse(contentType, "application/octet-stream"), call.body()));
+        }
+        return request;
+    }
+}
--- /dev/null
+++ b/endpoint/src/main/java/org/cicadahead/service/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP client of plain services. */
+package org.cicadahead.service;
