--- a/daemon/src/main/java/org/cicadahead/daemon/NodeStarter.java
+++ b/daemon/src/main/java/org/cicadahead/daemon/NodeStarter.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.Set;
 import org.cicadahead.control.ControlNode;
+import org.cicadahead.endpoint.EndpointNode;
 import org.cicadahead.entry.EntryNode;
 import org.cicadahead.model.DaemonId;
 import org.cicadahead.model.Role;
@@ -25,7 +26,11 @@
                         settings.entry()
                                 .toConfig(info(settings, settings.entry().address()), settings.daemon()),
                         metrics);
-            case ENDPOINT -> throw new NodeException("the role endpoint is not built yet", null);
+            case ENDPOINT ->
+                EndpointNode.start(
+                        settings.endpoint()
+                                .toConfig(info(settings, settings.endpoint().address()), settings.daemon()),
+                        metrics);
         };
     }
 
--- a/testbed/src/main/java/org/cicadahead/testbed/prove/Scene.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/prove/Scene.java
@@ -103,8 +103,7 @@
     }
 
     Traffic traffic() {
-        return Traffic.start(
-                callers(), "traffic", TRAFFIC_THREADS, TRAFFIC_STEPS, TRAFFIC_TOKENS, STEP_TIMEOUT_MILLIS);
+        return Traffic.start(callers(), "traffic", TRAFFIC_THREADS, TRAFFIC_STEPS, TRAFFIC_TOKENS, STEP_TIMEOUT_MILLIS);
     }
 
     /** Waits until some more programs of the traffic have finished. */
@@ -126,7 +125,10 @@
         CaseFailure.unless(
                 traffic.stop(2 * STEP_TIMEOUT_MILLIS), "programs do not finish; refusals %s", traffic.refusals());
         CaseFailure.unless(
-                traffic.faults().isEmpty(), "%d broken programs: %s", traffic.faults().size(), traffic.faults());
+                traffic.faults().isEmpty(),
+                "%d broken programs: %s",
+                traffic.faults().size(),
+                traffic.faults());
     }
 
     /** Returns the status of the fleet. */
@@ -144,7 +146,8 @@
                     return control;
                 }
             } catch (IOException e) {
-                throw new FleetException("cannot read the settings of " + control.process().name(), e);
+                throw new FleetException(
+                        "cannot read the settings of " + control.process().name(), e);
             }
         }
         throw new FleetException("no replica has the leader's address '" + address + "'", null);
