--- a/testbed/src/main/java/org/cicadahead/testbed/Main.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/Main.java
@@ -3,6 +3,7 @@
 import org.cicadahead.testbed.emulator.EngineCommand;
 import org.cicadahead.testbed.emulator.ServiceCommand;
 import org.cicadahead.testbed.fleet.FleetException;
+import org.cicadahead.testbed.prove.ProveCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -10,7 +11,7 @@
 @Command(
         name = "testbed",
         mixinStandardHelpOptions = true,
-        subcommands = {EngineCommand.class, ServiceCommand.class, QuickstartCommand.class})
+        subcommands = {EngineCommand.class, ServiceCommand.class, QuickstartCommand.class, ProveCommand.class})
 public final class Main {
 
     private Main() {}
--- a/testbed/src/main/java/org/cicadahead/testbed/fleet/Fleet.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/fleet/Fleet.java
@@ -154,17 +154,18 @@
     }
 
     /**
-     * Cuts a member off silently from all other daemons, in both directions.
+     * Cuts a member off silently from other daemons, in both directions.
      *
      * @param name the name of the member
+     * @param others the beginning of the names of the others, empty for all
      */
-    public void isolate(String name) {
+    public void isolate(String name, String others) {
         long pid = member(name).process().pid();
         Map<Integer, Boolean> owned = new ConcurrentHashMap<>();
         links.forEach((target, link) -> {
             if (target.equals(name)) {
                 link.cut();
-            } else {
+            } else if (target.startsWith(others)) {
                 link.cutFrom(port -> owned.computeIfAbsent(port, p -> SocketOwners.owns(pid, p)));
             }
         });
--- a/testbed/src/main/java/org/cicadahead/testbed/prove/FaultCase.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/prove/FaultCase.java
@@ -8,9 +8,10 @@
  * @param name the name for {@code --only}
  * @param promise what has to hold
  * @param slow whether it runs only with {@code --all}
+ * @param linked whether its fleet needs links that can be cut
  * @param body breaks the fleet and checks the promise
  */
-record FaultCase(String name, String promise, boolean slow, Body body) {
+record FaultCase(String name, String promise, boolean slow, boolean linked, Body body) {
 
     /** What a case does. */
     @FunctionalInterface
@@ -27,10 +28,14 @@
     }
 
     static FaultCase quick(String name, String promise, Body body) {
-        return new FaultCase(name, promise, false, body);
+        return new FaultCase(name, promise, false, false, body);
     }
 
     static FaultCase slow(String name, String promise, Body body) {
-        return new FaultCase(name, promise, true, body);
+        return new FaultCase(name, promise, true, false, body);
+    }
+
+    static FaultCase linked(String name, String promise, Body body) {
+        return new FaultCase(name, promise, false, true, body);
     }
 }
