--- /dev/null
+++ b/control/src/test/java/org/cicadahead/state/ClaimTableTest.java
@@ -0,0 +1,232 @@
+package org.cicadahead.state;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.cicadahead.model.RunId;
+import org.cicadahead.protocol.AbandonClaim;
+import org.cicadahead.protocol.ClaimOutcome;
+import org.cicadahead.protocol.ClaimRef;
+import org.cicadahead.protocol.ClaimReply;
+import org.cicadahead.protocol.Command;
+import org.cicadahead.protocol.FinishClaim;
+import org.cicadahead.protocol.OrphanClaims;
+import org.cicadahead.protocol.Outcome;
+import org.cicadahead.protocol.ReleaseClaim;
+import org.cicadahead.protocol.StartClaim;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a request that may not be repeated running twice, or being called not run when it may have. */
+class ClaimTableTest {
+    private static final Outcome BOOKED = new Outcome(200, "text/plain", new byte[] {1}, Tables.E1);
+
+    private final Tables tables = new Tables();
+
+    @Test
+    void resentBeginGetsTheSameFence() {
+        ClaimReply first = begin(1, "n1");
+        assertThat(begin(1, "n1")).isEqualTo(first);
+        assertThat(begin(1, "n2").outcome()).isEqualTo(ClaimOutcome.RUNNING);
+        assertThat(begin(2, "n1").outcome()).isEqualTo(ClaimOutcome.REUSED);
+    }
+
+    @Test
+    void startIsAcceptedOnceUnderTheCurrentFence() {
+        long fence = begin(1, "n1").fence();
+        assertThat(tables.done(Tables.start("k", fence + 1, "r1"))).isFalse();
+        assertThat(tables.done(Tables.start("other", fence, "r1"))).isFalse();
+        assertThat(tables.done(Tables.start("k", fence, "r1"))).isTrue();
+        assertThat(tables.done(Tables.start("k", fence, "r1"))).isTrue();
+        assertThat(tables.done(Tables.start("k", fence, "r2"))).isFalse();
+        assertThat(tables.done(release(fence))).isFalse();
+        assertThat(begin(1, "n2").outcome()).isEqualTo(ClaimOutcome.RUNNING);
+    }
+
+    @Test
+    void releasedClaimIgnoresTheLateStartAndRunsUnderAHigherFence() {
+        long fence = begin(1, "n1").fence();
+        assertThat(tables.done(release(fence))).isTrue();
+        assertThat(tables.done(release(fence))).isTrue();
+        assertThat(tables.done(Tables.start("k", fence, "r1"))).isFalse();
+        long next = begin(1, "n2").fence();
+        assertThat(next).isGreaterThan(fence);
+        assertThat(tables.done(Tables.start("k", fence, "r1"))).isFalse();
+        assertThat(tables.done(release(fence))).isFalse();
+        assertThat(tables.done(Tables.start("k", next, "r2"))).isTrue();
+    }
+
+    @Test
+    void pendingClaimOfALostEntryIsTakenOver() {
+        long fence = begin(1, "n1").fence();
+        tables.now += ClaimTable.PENDING_LEASE_MILLIS - 1;
+        assertThat(begin(1, "n2").outcome()).isEqualTo(ClaimOutcome.RUNNING);
+        tables.now++;
+        long next = begin(1, "n2").fence();
+        assertThat(tables.done(Tables.start("k", fence, "r1"))).isFalse();
+        assertThat(tables.done(Tables.start("k", next, "r2"))).isTrue();
+    }
+
+    @Test
+    void onlyTheRunThatMayHaveStartedAbandons() {
+        long fence = begin(1, "n1").fence();
+        tables.done(Tables.start("k", fence, "r1"));
+        assertThat(tables.done(abandon(fence, "r2"))).isFalse();
+        assertThat(tables.done(abandon(fence, "r1"))).isTrue();
+        assertThat(tables.done(abandon(fence, "r1"))).isTrue();
+        assertThat(tables.done(Tables.start("k", fence, "r1"))).isFalse();
+        assertThat(tables.done(finish(fence, "r1", BOOKED))).isFalse();
+        assertThat(begin(1, "n2").outcome()).isEqualTo(ClaimOutcome.GRANTED);
+    }
+
+    @Test
+    void finishedClaimIsAnsweredFromTheRecord() {
+        long fence = begin(1, "n1").fence();
+        assertThat(tables.done(finish(fence, "r1", BOOKED))).isFalse();
+        tables.done(Tables.start("k", fence, "r1"));
+        assertThat(tables.done(finish(fence, "r2", BOOKED))).isFalse();
+        assertThat(tables.done(finish(fence, "r1", BOOKED))).isTrue();
+        assertThat(tables.done(finish(fence, "r1", BOOKED))).isTrue();
+        assertThat(tables.done(finish(fence, "r1", null))).isFalse();
+        assertThat(tables.done(abandon(fence, "r1"))).isFalse();
+        assertThat(begin(1, "n2")).isEqualTo(new ClaimReply(ClaimOutcome.DONE, 0, BOOKED));
+    }
+
+    @Test
+    void orphanedClaimIsUnknownForGood() {
+        long fence = begin(1, "n1").fence();
+        tables.done(Tables.start("k", fence, "r1"));
+        tables.done(new OrphanClaims(Tables.E1, 1));
+        assertThat(begin(1, "n2").outcome()).isEqualTo(ClaimOutcome.RUNNING);
+        tables.done(new OrphanClaims(Tables.E2, 9));
+        assertThat(begin(1, "n2").outcome()).isEqualTo(ClaimOutcome.RUNNING);
+        tables.done(new OrphanClaims(Tables.E1, 2));
+        assertThat(begin(1, "n2").outcome()).isEqualTo(ClaimOutcome.UNKNOWN);
+        assertThat(tables.done(finish(fence, "r1", BOOKED))).isFalse();
+        assertThat(tables.state.claims().startedByEndpoint()).isEmpty();
+    }
+
+    @Test
+    void claimsAreForgottenAfterADayUnlessStarted() {
+        long fence = begin(1, "n1").fence();
+        tables.now += ClaimTable.RETENTION_MILLIS;
+        assertThat(tables.done(Tables.start("k", fence, "r1"))).isFalse();
+        fence = begin(1, "n2").fence();
+        tables.done(Tables.start("k", fence, "r1"));
+        tables.now += 2 * ClaimTable.RETENTION_MILLIS;
+        assertThat(begin(1, "n3").outcome()).isEqualTo(ClaimOutcome.RUNNING);
+        tables.done(finish(fence, "r1", BOOKED));
+        tables.now += ClaimTable.RETENTION_MILLIS - 1;
+        assertThat(begin(1, "n3").outcome()).isEqualTo(ClaimOutcome.DONE);
+        tables.now++;
+        assertThat(begin(1, "n3").outcome()).isEqualTo(ClaimOutcome.GRANTED);
+    }
+
+    /**
+     * An endpoint runs only after an accepted start, and never once it gave up; the network repeats and delays at will.
+     * No request runs twice, and none starts after an accepted release or abandonment.
+     */
+    @Property(tries = 500)
+    void claimRunsAtMostOnce(@ForAll long seed) {
+        new Interleaving(seed).run();
+    }
+
+    private static ReleaseClaim release(long fence) {
+        return new ReleaseClaim(new ClaimRef(Tables.key("k"), fence));
+    }
+
+    private static AbandonClaim abandon(long fence, String run) {
+        return new AbandonClaim(new ClaimRef(Tables.key("k"), fence), RunId.of(run));
+    }
+
+    private static FinishClaim finish(long fence, String run, Outcome outcome) {
+        return new FinishClaim(new ClaimRef(Tables.key("k"), fence), RunId.of(run), outcome);
+    }
+
+    private ClaimReply begin(int digest, String nonce) {
+        return (ClaimReply) tables.apply(Tables.claim("k", digest, nonce));
+    }
+
+    /** Entries and endpoints that send, resend and give up in a random order. */
+    private static final class Interleaving {
+        private final Random random;
+        private final String label;
+        private final Tables table = new Tables();
+        private final List<Long> fences = new ArrayList<>(List.of(0L));
+        private final List<Command> sent = new ArrayList<>();
+        private final Set<RunId> ran = new HashSet<>();
+        private final Set<RunId> givenUp = new HashSet<>();
+        private final Set<Long> closed = new HashSet<>();
+
+        Interleaving(long seed) {
+            random = new Random(seed);
+            label = "seed " + seed;
+        }
+
+        void run() {
+            for (int i = 0; i < 200; i++) {
+                table.now += random.nextInt(3_000);
+                if (random.nextInt(6) == 0) {
+                    begin();
+                } else {
+                    Command command = next();
+                    sent.add(command);
+                    deliver(command);
+                }
+                assertWithMessage(label).that(ran.size()).isAtMost(1);
+            }
+        }
+
+        private void begin() {
+            ClaimReply reply = (ClaimReply) table.apply(Tables.claim("k", 1, "n" + random.nextInt(50)));
+            if (reply.outcome() == ClaimOutcome.GRANTED) {
+                assertWithMessage(label).that(ran).isEmpty();
+                fences.add(reply.fence());
+            }
+        }
+
+        private Command next() {
+            long fence = fences.get(random.nextInt(fences.size()));
+            RunId run = RunId.of("r" + fence + "-" + random.nextInt(2));
+            int what = random.nextInt(10);
+            if (what < 4) {
+                return Tables.start("k", fence, run.value());
+            } else if (what < 5 && !ran.contains(run)) {
+                givenUp.add(run);
+                return abandon(fence, run.value());
+            } else if (what < 6) {
+                return release(fence);
+            } else if (what < 7 && ran.contains(run)) {
+                return finish(fence, run.value(), BOOKED);
+            } else if (what < 8) {
+                return new OrphanClaims(Tables.E1, random.nextInt(3));
+            }
+            return sent.isEmpty() ? release(fence) : sent.get(random.nextInt(sent.size()));
+        }
+
+        private void deliver(Command command) {
+            if (!table.done(command)) {
+                return;
+            }
+            if (command instanceof AbandonClaim abandoned) {
+                closed.add(abandoned.claim().fence());
+            } else if (command instanceof ReleaseClaim released) {
+                closed.add(released.claim().fence());
+            } else if (command instanceof StartClaim started) {
+                assertWithMessage(label)
+                        .that(closed)
+                        .doesNotContain(started.claim().fence());
+                boolean answered = random.nextBoolean();
+                if (answered && !givenUp.contains(started.run())) {
+                    ran.add(started.run());
+                }
+            }
+        }
+    }
+}
