Run control on the replicated log

Cause: the log of one replica kept nothing over a restart and knew no other replica.

Ruled out: a second peer server for the messages between replicas, as the log takes them from the server that daemons use.

Change: ControlNode starts a ReplicatedNode in the folder "log" of the data folder, passes it its messages, shows its counters as gauges, and hands leadership over at shutdown. Members are listed, added and removed through it.

--- a/control/src/main/java/org/cicadahead/control/ControlMetrics.java
+++ b/control/src/main/java/org/cicadahead/control/ControlMetrics.java
@@ -5,6 +5,7 @@
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.cicadahead.model.RefusalReason;
 import org.cicadahead.protocol.ClaimReply;
 import org.cicadahead.protocol.Command;
@@ -15,6 +16,7 @@
 import org.cicadahead.protocol.Message;
 import org.cicadahead.protocol.Refused;
 import org.cicadahead.protocol.StepReply;
+import org.cicadahead.replication.ReplicationCounters;
 
 /** Counts what control answers. Safe for use by several threads. */
 final class ControlMetrics {
@@ -34,6 +36,17 @@
         deniedOverRate = registry.counter("control.grants.denied." + RefusalReason.RATE_LIMITED.code());
     }
 
+    /** Shows the state of the replica as gauges. */
+    void watch(Supplier<ReplicationCounters> counters) {
+        registry.gauge("raft.term", () -> () -> counters.get().term());
+        registry.gauge("raft.last_index", () -> () -> counters.get().lastIndex());
+        registry.gauge("raft.commit_index", () -> () -> counters.get().commitIndex());
+        registry.gauge("raft.applied_index", () -> () -> counters.get().appliedIndex());
+        registry.gauge("raft.snapshot_index", () -> () -> counters.get().snapshotIndex());
+        registry.gauge("raft.syncs", () -> () -> counters.get().syncs());
+        registry.gauge("raft.elections", () -> () -> counters.get().elections());
+    }
+
     void count(Command command, Message reply) {
         registry.counter("control.commands." + command.getClass().getSimpleName())
                 .inc();
--- a/control/src/main/java/org/cicadahead/control/ControlNode.java
+++ b/control/src/main/java/org/cicadahead/control/ControlNode.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Objects;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -12,13 +11,12 @@
 import java.util.concurrent.TimeUnit;
 import org.cicadahead.node.Node;
 import org.cicadahead.node.NodeException;
-import org.cicadahead.operator.AdminException;
-import org.cicadahead.operator.AdminProblem;
 import org.cicadahead.operator.AdminServer;
-import org.cicadahead.operator.MemberView;
 import org.cicadahead.protocol.Message;
 import org.cicadahead.protocol.MessageCatalog;
-import org.cicadahead.replication.ReplicatedLog;
+import org.cicadahead.replication.ReplicatedNode;
+import org.cicadahead.replication.ReplicationConfig;
+import org.cicadahead.replication.ReplicationException;
 import org.cicadahead.wire.PeerHandler;
 import org.cicadahead.wire.PeerServer;
 import org.cicadahead.wire.Responder;
@@ -33,28 +31,13 @@
 public final class ControlNode implements Node {
     private static final Logger LOG = Logger.getLogger("cicadahead.control");
     private static final String HISTORY_FOLDER = "history";
+    private static final String LOG_FOLDER = "log";
 
-    private final ReplicatedLog log;
-    private final HistoryStore histories;
-    private final ExecutorService workers;
-    private final ScheduledExecutorService timer;
-    private final PeerServer server;
-    private final AdminServer admin;
+    private final Parts parts;
     private volatile boolean stopped;
 
-    private ControlNode(
-            ReplicatedLog log,
-            HistoryStore histories,
-            ExecutorService workers,
-            ScheduledExecutorService timer,
-            PeerServer server,
-            AdminServer admin) {
-        this.log = log;
-        this.histories = histories;
-        this.workers = workers;
-        this.timer = timer;
-        this.server = server;
-        this.admin = admin;
+    private ControlNode(Parts parts) {
+        this.parts = parts;
     }
 
     /**
@@ -67,21 +50,34 @@
      */
     public static ControlNode start(ControlConfig config, MetricRegistry metrics) throws NodeException {
         Objects.requireNonNull(config, "The config must not be null");
+        return start(
+                config,
+                metrics,
+                ReplicationConfig.of(
+                        config.dataFolder().resolve(LOG_FOLDER),
+                        config.daemon().address(),
+                        config.initialMembers(),
+                        config.bootstrap()));
+    }
+
+    static ControlNode start(ControlConfig config, MetricRegistry metrics, ReplicationConfig replication)
+            throws NodeException {
         Objects.requireNonNull(metrics, "The metrics must not be null");
-        HistoryStore histories;
+        Parts parts = new Parts(config);
         try {
-            histories = HistoryStore.open(config.dataFolder().resolve(HISTORY_FOLDER), HistoryStore.SEGMENT_BYTES);
+            return parts.start(config, metrics, replication);
         } catch (IOException e) {
+            parts.close();
             throw new NodeException("cannot use the data folder", e);
-        }
-        ExecutorService workers = Executors.newFixedThreadPool(config.workers(), named("control-worker"));
-        ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(named("control-timer"));
-        try {
-            return start(config, metrics, histories, workers, timer);
+        } catch (ReplicationException e) {
+            parts.close();
+            throw new NodeException("cannot start the replica", e);
         } catch (WireException e) {
-            workers.shutdownNow();
-            timer.shutdownNow();
+            parts.close();
             throw new NodeException("cannot serve daemons on " + config.listen(), e);
+        } catch (NodeException e) {
+            parts.close();
+            throw e;
         }
     }
 
@@ -91,7 +87,7 @@
      * @return the port
      */
     public int port() {
-        return server.port();
+        return parts.server.port();
     }
 
     /**
@@ -100,111 +96,123 @@
      * @return the port
      */
     public int adminPort() {
-        return admin.port();
+        return parts.admin.port();
+    }
+
+    /**
+     * Returns the id of this replica in the group.
+     *
+     * @return the replica id
+     */
+    public String replicaId() {
+        return parts.log.id().value();
     }
 
     @Override
     public boolean isReady() {
         return !stopped
-                && (log.holdsLease(monotonicMillis()) || !log.leaderAddress().isEmpty());
+                && parts.log.failure() == null
+                && !parts.log.leaderAddress().isEmpty();
     }
 
+    /**
+     * Hands leadership over, then stops.
+     *
+     * @param timeoutMillis how long to wait for a successor and for answers under way, in milliseconds
+     */
     @Override
     public void shutdown(long timeoutMillis) {
         stopped = true;
-        timer.shutdownNow();
-        admin.stop();
-        server.close();
-        workers.shutdown();
+        parts.timer.shutdownNow();
+        parts.log.shutdown(timeoutMillis);
+        parts.workers.shutdown();
         try {
-            if (!workers.awaitTermination(timeoutMillis, TimeUnit.MILLISECONDS)) {
-                workers.shutdownNow();
-            }
+            parts.workers.awaitTermination(timeoutMillis, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
-            workers.shutdownNow();
             Thread.currentThread().interrupt();
         }
-        try {
-            histories.close();
-        } catch (IOException e) {
-            LOG.warnf(e, "control: Cannot close the histories");
-        }
+        parts.close();
         LOG.info("control: Stopped");
     }
 
-    private static ControlNode start(
-            ControlConfig config,
-            MetricRegistry metrics,
-            HistoryStore histories,
-            ExecutorService workers,
-            ScheduledExecutorService timer)
-            throws NodeException, WireException {
-        MessageCatalog catalog = MessageCatalog.standard().with(List.of(FindAdmin.class, AdminAddress.class));
-        ControlStateMachine machine = new ControlStateMachine(histories);
-        ReplicatedLog log = new SingleNodeLog(machine, config.daemon().address());
-        Leadership leadership = new Leadership(log, ControlNode::monotonicMillis);
-        ControlService service =
-                new ControlService(log, machine, histories, leadership, new ControlMetrics(metrics), workers);
-        PeerServer server = PeerServer.start(config.listen(), catalog, workers, handler(config, service));
-        AdminServer admin;
-        try {
-            admin = AdminServer.start(
-                    config.adminListen(),
-                    config.adminToken(),
-                    new ControlAdmin(service, machine, leadership, single(config), catalog),
-                    metrics);
-        } catch (NodeException e) {
-            server.close();
-            throw e;
-        }
-        timer.scheduleWithFixedDelay(
-                new Housekeeping(service, machine, leadership, System::currentTimeMillis),
-                0,
-                Housekeeping.INTERVAL_MILLIS,
-                TimeUnit.MILLISECONDS);
-        LOG.infof("control: Started on port %d, operators on port %d", server.port(), admin.port());
-        return new ControlNode(log, histories, workers, timer, server, admin);
-    }
-
-    private static PeerHandler handler(ControlConfig config, ControlService service) {
-        return (Message request, Responder responder) -> {
-            if (request instanceof FindAdmin) {
-                responder.reply(new AdminAddress(config.adminAddress()));
-            } else {
-                service.handle(request, responder);
-            }
+    private static ThreadFactory named(String name) {
+        return task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
         };
     }
 
-    private static Replicas single(ControlConfig config) {
-        return new Replicas() {
-            @Override
-            public List<MemberView> list() {
-                return List.of(new MemberView("single", config.daemon().address(), true, true));
-            }
+    /** What a node is made of, in the order in which it is started. */
+    private static final class Parts {
+        private final ExecutorService workers;
+        private final ScheduledExecutorService timer;
+        private HistoryStore histories;
+        private ReplicatedNode log;
+        private PeerServer server;
+        private AdminServer admin;
+
+        Parts(ControlConfig config) {
+            workers = Executors.newFixedThreadPool(config.workers(), named("control-worker"));
+            timer = Executors.newSingleThreadScheduledExecutor(named("control-timer"));
+        }
 
-            @Override
-            public CompletableFuture<Void> add(String replica, String address) {
-                return CompletableFuture.failedFuture(
-                        new AdminException(AdminProblem.MEMBERS_REFUSED, "this is a group of one"));
-            }
+        ControlNode start(ControlConfig config, MetricRegistry metrics, ReplicationConfig replication)
+                throws IOException, ReplicationException, WireException, NodeException {
+            MessageCatalog catalog = ReplicatedNode.catalog(
+                    MessageCatalog.standard().with(List.of(FindAdmin.class, AdminAddress.class)));
+            histories = HistoryStore.open(config.dataFolder().resolve(HISTORY_FOLDER), HistoryStore.SEGMENT_BYTES);
+            ControlStateMachine machine = new ControlStateMachine(histories);
+            log = ReplicatedNode.start(replication, machine, catalog);
+            Leadership leadership = new Leadership(log, ReplicatedNode::monotonicMillis);
+            ControlMetrics counters = new ControlMetrics(metrics);
+            counters.watch(log::counters);
+            ControlService service = new ControlService(log, machine, histories, leadership, counters, workers);
+            server = PeerServer.start(config.listen(), catalog, workers, handler(config, service));
+            ControlAdmin backend = new ControlAdmin(service, machine, leadership, new GroupMembers(log), catalog);
+            admin = AdminServer.start(config.adminListen(), config.adminToken(), backend, metrics);
+            timer.scheduleWithFixedDelay(
+                    new Housekeeping(service, machine, leadership, System::currentTimeMillis),
+                    0,
+                    Housekeeping.INTERVAL_MILLIS,
+                    TimeUnit.MILLISECONDS);
+            LOG.infof(
+                    "control: Replica %s started on port %d, operators on port %d",
+                    log.id(), server.port(), admin.port());
+            return new ControlNode(this);
+        }
 
-            @Override
-            public CompletableFuture<Void> remove(String replica) {
-                return add(replica, "");
+        void close() {
+            timer.shutdownNow();
+            if (admin != null) {
+                admin.stop();
             }
-        };
-    }
-
-    private static long monotonicMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    }
+            if (server != null) {
+                server.close();
+            }
+            if (log != null) {
+                log.close();
+            }
+            workers.shutdownNow();
+            try {
+                if (histories != null) {
+                    histories.close();
+                }
+            } catch (IOException e) {
+                LOG.warnf(e, "control: Cannot close the histories");
+            }
+        }
 
-    private static ThreadFactory named(String name) {
-        return task -> {
-            Thread thread = new Thread(task, name);
-            thread.setDaemon(true);
-            return thread;
-        };
+        private PeerHandler handler(ControlConfig config, ControlService service) {
+            return (Message request, Responder responder) -> {
+                if (ReplicatedNode.handles(request)) {
+                    log.handle(request, responder);
+                } else if (request instanceof FindAdmin) {
+                    responder.reply(new AdminAddress(config.adminAddress()));
+                } else {
+                    service.handle(request, responder);
+                }
+            };
+        }
     }
 }
--- /dev/null
+++ b/control/src/main/java/org/cicadahead/control/GroupMembers.java
@@ -0,0 +1,92 @@
+package org.cicadahead.control;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.cicadahead.operator.AdminException;
+import org.cicadahead.operator.AdminProblem;
+import org.cicadahead.operator.MemberView;
+import org.cicadahead.raft.ReplicaId;
+import org.cicadahead.replication.MemberStatus;
+import org.cicadahead.replication.ReplicatedNode;
+import org.cicadahead.replication.ReplicationException;
+import org.jboss.logging.Logger;
+
+/** The members of the group of a replica. Safe for use by several threads. */
+final class GroupMembers implements Replicas {
+    private static final Logger LOG = Logger.getLogger("cicadahead.control");
+    private static final long LIST_TIMEOUT_MILLIS = 1_000;
+
+    private final ReplicatedNode node;
+
+    GroupMembers(ReplicatedNode node) {
+        this.node = node;
+    }
+
+    @Override
+    public List<MemberView> list() {
+        try {
+            return node.members().get(LIST_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).stream()
+                    .map(GroupMembers::view)
+                    .toList();
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.warnf("control: The members are not known: %s", e.getMessage());
+            return List.of();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return List.of();
+        }
+    }
+
+    @Override
+    public CompletableFuture<Void> add(String replica, String address) {
+        return parse(replica)
+                .thenCompose(id -> node.addMember(address).thenCompose(done -> node.members()))
+                .handle((members, failure) -> {
+                    if (failure != null) {
+                        throw refused(failure);
+                    }
+                    if (members.stream().noneMatch(m -> m.id().value().equals(replica))) {
+                        throw new CompletionException(new AdminException(
+                                AdminProblem.MEMBERS_REFUSED,
+                                "the replica at " + address + " has another id; it was added under its own"));
+                    }
+                    return null;
+                });
+    }
+
+    @Override
+    public CompletableFuture<Void> remove(String replica) {
+        return parse(replica).thenCompose(node::removeMember).handle((done, failure) -> {
+            if (failure != null) {
+                throw refused(failure);
+            }
+            return null;
+        });
+    }
+
+    private static MemberView view(MemberStatus status) {
+        return new MemberView(status.id().value(), status.address(), status.voter(), status.leader());
+    }
+
+    private static CompletableFuture<ReplicaId> parse(String replica) {
+        try {
+            return CompletableFuture.completedFuture(ReplicaId.of(replica));
+        } catch (IllegalArgumentException e) {
+            return CompletableFuture.failedFuture(new AdminException(AdminProblem.MALFORMED, e.getMessage()));
+        }
+    }
+
+    private static CompletionException refused(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause instanceof ReplicationException replication) {
+            AdminProblem problem =
+                    replication.mayBeCommitted() ? AdminProblem.UNCONFIRMED : AdminProblem.MEMBERS_REFUSED;
+            return new CompletionException(new AdminException(problem, replication.getMessage()));
+        }
+        return new CompletionException(cause);
+    }
+}
--- a/control/src/test/java/org/cicadahead/control/ControlNodeTest.java
+++ b/control/src/test/java/org/cicadahead/control/ControlNodeTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -58,7 +57,7 @@
 import org.cicadahead.protocol.Sync;
 import org.cicadahead.protocol.SyncReply;
 import org.cicadahead.wire.Codec;
-import org.cicadahead.wire.PeerClient;
+import org.cicadahead.wire.ControlClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -77,24 +76,15 @@
 
     private final HttpClient http = HttpClient.newHttpClient();
     private ControlNode node;
-    private PeerClient client;
+    private ControlClient client;
 
     @BeforeEach
     void start() throws Exception {
-        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        ControlConfig config = new ControlConfig(
-                new DaemonInfo(DaemonId.of("c1"), Set.of(Role.CONTROL), ZoneName.of("a"), 1, "127.0.0.1:1"),
-                folder,
-                any,
-                any,
-                "127.0.0.1:2",
-                "secret",
-                List.of("127.0.0.1:1"),
-                true,
-                4);
-        node = ControlNode.start(config, new MetricRegistry());
-        client = PeerClient.to(
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), node.port()), MessageCatalog.standard());
+        node = TestReplica.create(folder).start();
+        client = ControlClient.to(
+                List.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), node.port())),
+                MessageCatalog.standard());
+        call(sync(Role.ENTRY, 0, null), SyncReply.class);
     }
 
     @AfterEach
@@ -260,7 +250,7 @@
     }
 
     private <R extends Message> R call(Message request, Class<R> type) throws Exception {
-        return type.cast(client.call(request, 5_000).get(5, TimeUnit.SECONDS));
+        return client.call(request, type, 5_000).get(10, TimeUnit.SECONDS);
     }
 
     private HttpResponse<String> send(String method, String path, String header, String value, String body)
