Keep histories at the entry, refuse keys anywhere in a request, bound waiting

Cause: each step read its whole history from control, a key in a body would have reached an endpoint, and shutdown could cut off answers still being written.

Change: a bounded cache of histories; a scan of everything that is forwarded for valid keys; requests that exceed the rate with certainty are refused at once; shutdown waits for the last byte of each answer; HTTP that Jetty refuses is answered and counted as request_malformed.

Ruled out: reserving the budget without the history, as the reservation could then be below the use.

--- a/entry/src/main/java/org/cicadahead/admission/Admission.java
+++ b/entry/src/main/java/org/cicadahead/admission/Admission.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import org.cicadahead.model.Organisation;
 import org.cicadahead.model.OrganisationId;
 import org.cicadahead.protocol.Grant;
 import org.cicadahead.protocol.GrantLine;
@@ -45,13 +46,14 @@
     /**
      * Asks to admit a request.
      *
-     * @param organisation the organisation
-     * @param ratePerSecond its rate, which bounds how many requests may wait
+     * @param organisation the organisation, whose rate bounds how many requests may wait
      * @param nowMillis monotonic time in milliseconds
      * @return empty if the request is admitted at once, else the ticket under which it waits
      */
-    public OptionalLong request(OrganisationId organisation, double ratePerSecond, long nowMillis) {
-        OrganisationQueue queue = queues.computeIfAbsent(organisation, name -> new OrganisationQueue(name, nowMillis));
+    public OptionalLong request(Organisation organisation, long nowMillis) {
+        OrganisationQueue queue =
+                queues.computeIfAbsent(organisation.name(), name -> new OrganisationQueue(name, nowMillis));
+        queue.configure(organisation);
         if (queue.tryAdmit(nowMillis)) {
             return OptionalLong.empty();
         }
@@ -82,6 +84,7 @@
     public List<GrantLine> lines(long nowMillis) {
         List<GrantLine> lines = new ArrayList<>();
         queues.values().removeIf(queue -> queue.isIdle(nowMillis));
+        retryAt.keySet().retainAll(queues.keySet());
         for (OrganisationQueue queue : queues.values()) {
             if (queue.needsLine(nowMillis)) {
                 lines.add(queue.line(nowMillis));
--- a/entry/src/main/java/org/cicadahead/admission/OrganisationQueue.java
+++ b/entry/src/main/java/org/cicadahead/admission/OrganisationQueue.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.List;
+import org.cicadahead.model.Organisation;
 import org.cicadahead.model.OrganisationId;
 import org.cicadahead.model.RefusalReason;
 import org.cicadahead.protocol.Grant;
@@ -20,6 +21,13 @@
     /** Uses are reported at least this often in milliseconds, as unreported ones stop the refill of the bucket. */
     private static final long REPORT_MILLIS = 100;
 
+    /** A batch unanswered for this time, in milliseconds, means that control is changing its leader. */
+    private static final long SLOW_ANSWER_MILLIS = 500;
+    /** Requests asked for ahead beyond this number only; a seldom used grant would keep others from theirs. */
+    private static final int UNPLANNED_REQUESTS = 2;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final OrganisationId organisation;
     private final Deque<Waiter> waiters = new ArrayDeque<>();
     private final List<LocalGrant> grants = new ArrayList<>();
@@ -29,14 +37,18 @@
     private long askedAtMillis = Long.MIN_VALUE / 2;
     private long notBeforeMillis = Long.MIN_VALUE;
     private boolean inFlight;
+    private double ratePerSecond = 1;
+    private long burst = 1;
 
     private static final class Waiter {
         private final long ticket;
         private final long sinceMillis;
+        private final boolean hopeless;
         private boolean rateLimited;
         private boolean extended;
 
-        Waiter(long ticket, long sinceMillis) {
+        Waiter(long ticket, long sinceMillis, boolean hopeless) {
+            this.hopeless = hopeless;
             this.ticket = ticket;
             this.sinceMillis = sinceMillis;
         }
@@ -57,8 +69,15 @@
         return waiters.isEmpty() && spend(nowMillis);
     }
 
+    void configure(Organisation limits) {
+        ratePerSecond = limits.ratePerSecond();
+        burst = limits.burst();
+    }
+
+    /** A request behind more than the whole fleet may admit while it waits exceeds the rate with certainty. */
     void await(long ticket, long nowMillis) {
-        waiters.add(new Waiter(ticket, nowMillis));
+        double admitted = ratePerSecond * Admission.FAILOVER_WAIT_MILLIS / MILLIS_PER_SECOND + burst;
+        waiters.add(new Waiter(ticket, nowMillis, waiters.size() > admitted));
     }
 
     int waiting() {
@@ -124,15 +143,22 @@
         while (!waiters.isEmpty() && spend(nowMillis)) {
             decided.add(Admitted.admitted(waiters.poll().ticket));
         }
+        boolean slow = inFlight && nowMillis - askedAtMillis >= SLOW_ANSWER_MILLIS;
+        int position = 0;
         Iterator<Waiter> left = waiters.iterator();
         while (left.hasNext()) {
             Waiter waiter = left.next();
-            boolean hopeless = waiter.rateLimited && nowMillis + retryAfterMillis > waiter.deadlineMillis();
-            if (hopeless || nowMillis >= waiter.deadlineMillis()) {
+            waiter.extended |= slow;
+            // The fleet admits one request each 1/rate s, so that those ahead take at least this long.
+            long turnMillis = retryAfterMillis + (long) (position * MILLIS_PER_SECOND / ratePerSecond);
+            boolean tooFar = waiter.rateLimited && nowMillis + turnMillis > waiter.deadlineMillis();
+            if (waiter.hopeless || tooFar || nowMillis >= waiter.deadlineMillis()) {
                 left.remove();
-                RefusalReason reason =
-                        waiter.rateLimited ? RefusalReason.RATE_LIMITED : RefusalReason.RATE_GRANT_UNAVAILABLE;
-                decided.add(Admitted.refused(waiter.ticket, reason, retryAfterMillis));
+                boolean limited = waiter.hopeless || waiter.rateLimited;
+                RefusalReason reason = limited ? RefusalReason.RATE_LIMITED : RefusalReason.RATE_GRANT_UNAVAILABLE;
+                decided.add(Admitted.refused(waiter.ticket, reason, turnMillis));
+            } else {
+                position++;
             }
         }
     }
@@ -169,7 +195,7 @@
         if (waiters.isEmpty() && left * 2 >= demand) {
             return 0;
         }
-        return (int) Math.max(0, waiters.size() + demand - left);
+        return (int) Math.max(0, waiters.size() + Math.max(0, demand - UNPLANNED_REQUESTS) - left);
     }
 
     private void closeOld(long nowMillis) {
--- a/entry/src/main/java/org/cicadahead/caller/CallerHandler.java
+++ b/entry/src/main/java/org/cicadahead/caller/CallerHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.UUID;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cicadahead.model.RefusalReason;
 import org.cicadahead.model.RequestId;
 import org.eclipse.jetty.server.Handler;
@@ -16,17 +17,26 @@
 
     private final CallerService service;
     private final long maxBodyBytes;
+    private final AtomicInteger open = new AtomicInteger();
 
     CallerHandler(CallerService service, long maxBodyBytes) {
         this.service = service;
         this.maxBodyBytes = maxBodyBytes;
     }
 
+    /** Returns how many requests have not been answered to the last byte. */
+    int open() {
+        return open.get();
+    }
+
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         RequestId id = RequestId.of(UUID.randomUUID().toString());
-        JettyAnswer answer = new JettyAnswer(id, response, callback, service);
+        open.incrementAndGet();
+        JettyAnswer answer = new JettyAnswer(id, response, Callback.from(callback, open::decrementAndGet), service);
         request.addFailureListener(answer::lost);
+        // The deadline of the route limits a request; a pending read or write still times out.
+        request.addIdleTimeoutListener(timeout -> false);
         RequestParser parser = new RequestParser(request.getMethod(), request.getHttpURI(), request.getHeaders());
         try {
             parser.parse(id, new byte[0]);
--- a/entry/src/main/java/org/cicadahead/caller/CallerServer.java
+++ b/entry/src/main/java/org/cicadahead/caller/CallerServer.java
@@ -17,12 +17,14 @@
 public final class CallerServer {
     private static final Logger LOG = Logger.getLogger("cicadahead.entry");
     private static final int MIN_THREADS = 8;
-    private static final long IDLE_TIMEOUT_MILLIS = 300_000;
+    private static final long IDLE_TIMEOUT_MILLIS = 60_000;
 
     private final Server server;
     private final ServerConnector connector;
+    private final CallerHandler handler;
 
-    private CallerServer(Server server, ServerConnector connector) {
+    private CallerServer(Server server, ServerConnector connector, CallerHandler handler) {
+        this.handler = handler;
         this.server = server;
         this.connector = connector;
     }
@@ -51,13 +53,15 @@
         connector.setPort(listen.getPort());
         connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
         server.addConnector(connector);
-        server.setHandler(new CallerHandler(service, maxBodyBytes));
+        CallerHandler handler = new CallerHandler(service, maxBodyBytes);
+        server.setHandler(handler);
+        server.setErrorHandler(new MalformedHandler(service));
         try {
             server.start();
         } catch (Exception e) {
             throw new IOException("cannot serve callers on " + listen, e);
         }
-        return new CallerServer(server, connector);
+        return new CallerServer(server, connector, handler);
     }
 
     /**
@@ -69,6 +73,15 @@
         return connector.getLocalPort();
     }
 
+    /**
+     * Returns how many requests have not been answered to the last byte.
+     *
+     * @return the number
+     */
+    public int openRequests() {
+        return handler.open();
+    }
+
     /** Stops accepting connections; requests under way continue. */
     public void stopAccepting() {
         connector.shutdown();
--- /dev/null
+++ b/entry/src/main/java/org/cicadahead/caller/KeyDigests.java
@@ -0,0 +1,27 @@
+package org.cicadahead.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import org.cicadahead.model.KeyDigest;
+
+/** Digests of keys. */
+public final class KeyDigests {
+    private KeyDigests() {}
+
+    /**
+     * Returns the digest of a key.
+     *
+     * @param key the key
+     * @return its SHA-256 digest
+     */
+    public static KeyDigest of(String key) {
+        try {
+            byte[] hash = MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
+            return KeyDigest.of(HexFormat.of().formatHex(hash));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("Every Java platform has SHA-256", e);
+        }
+    }
+}
--- a/entry/src/main/java/org/cicadahead/caller/RequestParser.java
+++ b/entry/src/main/java/org/cicadahead/caller/RequestParser.java
@@ -1,10 +1,8 @@
 package org.cicadahead.caller;
 
+import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -36,6 +34,9 @@
     private static final Pattern KEY_PARAMETER = Pattern.compile(
             "(^|[&;?])(api[_-]?key|x-api-key|key|access[_-]?token|token|authorization)=", Pattern.CASE_INSENSITIVE);
 
+    /** Endpoints may resolve such segments differently, so that a path would mean something else there. */
+    private static final Pattern DOT_SEGMENT = Pattern.compile("(^|/)(\\.|%2e){1,2}(/|;|$)", Pattern.CASE_INSENSITIVE);
+
     private final String method;
     private final HttpURI uri;
     private final HttpFields fields;
@@ -49,6 +50,9 @@
     CallerRequest parse(RequestId id, byte[] body) throws RefusalException {
         refuseKeyInUri();
         String path = uri.getPath() == null ? "" : uri.getPath();
+        if (DOT_SEGMENT.matcher(path).find()) {
+            throw new RefusalException(RefusalReason.REQUEST_MALFORMED, "The path must not have dot segments");
+        }
         CallerRequest.Kind kind = kind(path);
         RouteName route = null;
         String servicePath = null;
@@ -89,16 +93,6 @@
                 body);
     }
 
-    /** Returns the digest of a key. */
-    static KeyDigest digest(String key) {
-        try {
-            byte[] hash = MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
-            return KeyDigest.of(HexFormat.of().formatHex(hash));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("Every Java platform has SHA-256", e);
-        }
-    }
-
     private CallerRequest.Kind kind(String path) throws RefusalException {
         if (path.equals(CHAT_PATH) && method.equals("POST")) {
             return CallerRequest.Kind.CHAT;
@@ -127,6 +121,14 @@
         }
     }
 
+    private static String decoded(String text) throws RefusalException {
+        try {
+            return URLDecoder.decode(text, StandardCharsets.ISO_8859_1);
+        } catch (IllegalArgumentException e) {
+            throw new RefusalException(RefusalReason.REQUEST_MALFORMED, "The path is not encoded correctly");
+        }
+    }
+
     /** Several keys that differ are refused, as it would not be clear for whom the request runs. */
     private KeyDigest key() throws RefusalException {
         KeyDigest found = null;
@@ -135,7 +137,7 @@
             if (!KEY_HEADERS.contains(name) || field.getValue() == null) {
                 continue;
             }
-            KeyDigest digest = digest(withoutScheme(field.getValue().trim()));
+            KeyDigest digest = KeyDigests.of(withoutScheme(field.getValue().trim()));
             if (found != null && !found.equals(digest)) {
                 throw new RefusalException(RefusalReason.KEY_INVALID, "The request carries several keys");
             }
--- a/entry/src/main/java/org/cicadahead/entry/AdmissionDriver.java
+++ b/entry/src/main/java/org/cicadahead/entry/AdmissionDriver.java
@@ -40,8 +40,7 @@
     CompletableFuture<Admitted> request(Organisation organisation) {
         CompletableFuture<Admitted> decision = new CompletableFuture<>();
         synchronized (this) {
-            OptionalLong ticket =
-                    admission.request(organisation.name(), organisation.ratePerSecond(), clock.getAsLong());
+            OptionalLong ticket = admission.request(organisation, clock.getAsLong());
             if (ticket.isPresent()) {
                 waiting.put(ticket.getAsLong(), decision);
                 decision.whenComplete((admitted, failure) -> cancel(organisation, ticket.getAsLong()));
--- a/entry/src/main/java/org/cicadahead/entry/ConfigurationReplica.java
+++ b/entry/src/main/java/org/cicadahead/entry/ConfigurationReplica.java
@@ -81,7 +81,9 @@
     }
 
     synchronized Optional<PoisonEntry> poison(RequestDigest digest) {
-        return Optional.ofNullable(poison.get(digest));
+        // The leader's time is wall-clock time, and lapsed entries may stay in the table until it changes.
+        return Optional.ofNullable(poison.get(digest))
+                .filter(entry -> entry.untilMillis() > System.currentTimeMillis());
     }
 
     Optional<Route> route(RouteName name) {
--- a/entry/src/main/java/org/cicadahead/entry/EndpointRun.java
+++ b/entry/src/main/java/org/cicadahead/entry/EndpointRun.java
@@ -73,17 +73,21 @@
         call = peer.stream(request, this);
     }
 
-    /** Cancels the run; the sink is told nothing more. */
-    void cancel() {
+    /**
+     * Stops listening; the sink is told nothing more.
+     *
+     * @param cancel whether the endpoint is told to stop as well
+     * @return false if the run had ended before
+     */
+    boolean leave(boolean cancel) {
+        if (ended) {
+            return false;
+        }
         ended = true;
-        if (call != null) {
+        if (cancel && call != null) {
             call.cancel();
         }
-    }
-
-    /** Stops listening without cancelling the run at the endpoint. */
-    void detach() {
-        ended = true;
+        return true;
     }
 
     @Override
--- a/entry/src/main/java/org/cicadahead/entry/EntryContext.java
+++ b/entry/src/main/java/org/cicadahead/entry/EntryContext.java
@@ -18,6 +18,7 @@
     private final EndpointDirectory endpoints;
     private final AdmissionDriver admission;
     private final StepRenewal renewal;
+    private final HistoryCache histories = new HistoryCache();
     private final Counters counters;
     private final Executor workers;
     private final ScheduledExecutorService timer;
@@ -68,6 +69,10 @@
         return renewal;
     }
 
+    HistoryCache histories() {
+        return histories;
+    }
+
     Counters counters() {
         return counters;
     }
--- a/entry/src/main/java/org/cicadahead/entry/EntryNode.java
+++ b/entry/src/main/java/org/cicadahead/entry/EntryNode.java
@@ -112,12 +112,11 @@
     public void shutdown(long timeoutMillis) {
         context.shutDown();
         server.stopAccepting();
-        awaitFlows(timeoutMillis);
-        List<RequestFlow> left = List.copyOf(context.flows());
-        if (!left.isEmpty()) {
-            LOG.warnf("entry: Cuts off %d requests", left.size());
-            left.forEach(RequestFlow::cutOff);
-            awaitFlows(CUT_OFF_MILLIS);
+        awaitRequests(timeoutMillis);
+        if (server.openRequests() > 0) {
+            LOG.warnf("entry: Cuts off %d requests", server.openRequests());
+            List.copyOf(context.flows()).forEach(RequestFlow::cutOff);
+            awaitRequests(CUT_OFF_MILLIS);
         }
         timer.shutdownNow();
         server.close();
@@ -126,9 +125,9 @@
         context.endpoints().close();
     }
 
-    private void awaitFlows(long timeoutMillis) {
+    private void awaitRequests(long timeoutMillis) {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-        while (!context.flows().isEmpty() && System.nanoTime() - endNanos < 0) {
+        while (server.openRequests() > 0 && System.nanoTime() - endNanos < 0) {
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS));
         }
     }
--- a/entry/src/main/java/org/cicadahead/entry/RequestFlow.java
+++ b/entry/src/main/java/org/cicadahead/entry/RequestFlow.java
@@ -58,6 +58,9 @@
     private Work.Call call;
     private RunPlan plan;
     private EndpointRun run;
+    /** Why a claimed request is not tried again, while control is asked what became of it. */
+    private EndpointRun.Failure lastFailure;
+
     private long startedMillis;
     private long endpointWaitMillis;
     private Future<?> deadline;
@@ -144,13 +147,17 @@
             if (!context.isLeased()) {
                 throw new RefusalException(RefusalReason.CONFIGURATION_LEASE_EXPIRED, "");
             }
-            resolve();
+            Resolved resolved = Resolved.of(context.replica(), request);
+            target = resolved.target();
+            work = resolved.work();
         } catch (RefusalException e) {
             end();
             answer.refuse(e.refusal());
             return;
         }
         context.endpoints().countRequest();
+        claim = target.route().repeatable() ? null : new ClaimSession(context, request, target, work);
+        step = request.program() == null ? null : new StepSession(context, request, target);
         deadline = context.after(
                 target.route().deadlineMillis(), serial, guarded(() -> fail(RefusalReason.DEADLINE_EXCEEDED, "")));
         if (target.limits() == null) {
@@ -160,29 +167,6 @@
         }
     }
 
-    private void resolve() throws RefusalException {
-        if (request.kind() == CallerRequest.Kind.CHAT) {
-            if (request.key() != null) {
-                Target.organisation(context.replica(), request.key());
-            }
-            ChatWork chat = ChatWork.parse(request);
-            target = Target.of(context.replica(), request, chat.route());
-            work = chat.forRoute(target.route());
-        } else {
-            target = Target.of(context.replica(), request, request.route());
-            work = ServiceWork.of(request);
-        }
-        if (!target.route().repeatable()) {
-            if (request.idempotencyKey() == null) {
-                throw new RefusalException(RefusalReason.IDEMPOTENCY_KEY_REQUIRED, "");
-            }
-            claim = new ClaimSession(context, request, target, work);
-        }
-        if (request.program() != null) {
-            step = new StepSession(context, request, target);
-        }
-    }
-
     private void admitted(Admitted decision) {
         if (ended) {
             return;
@@ -237,15 +221,19 @@
             fail(RefusalReason.REQUEST_POISONOUS, "");
             return;
         }
+        if (KeyScanner.holdsKey(call, context.replica())) {
+            fail(RefusalReason.REQUEST_MALFORMED, "The request holds a key outside of the Authorization header");
+            return;
+        }
         if (claim == null) {
             dispatch();
         } else {
             ledger.claimOpened();
-            then(claim.begin(), message -> claimAnswered(message, true));
+            then(claim.begin(), this::claimAnswered);
         }
     }
 
-    private void claimAnswered(Message message, boolean mayRun) {
+    private void claimAnswered(Message message) {
         if (!(message instanceof ClaimReply reply)) {
             refusedByControl(message);
         } else if (reply.outcome() == ClaimOutcome.GRANTED) {
@@ -254,15 +242,15 @@
             ledger.claimOpened();
             if (ended) {
                 claim.release();
-            } else if (mayRun) {
+            } else if (lastFailure == null) {
                 dispatch();
             } else {
-                fail(RefusalReason.ENDPOINT_LOST, "");
+                fail(lastFailure.reason(), lastFailure.detail());
             }
         } else if (reply.outcome() == ClaimOutcome.DONE && !ended) {
             recorded(reply.recorded());
         } else if (reply.outcome() == ClaimOutcome.RUNNING && ledger.mayRun()) {
-            context.after(POLL_MILLIS, serial, guarded(() -> lookUpClaim(mayRun)));
+            context.after(POLL_MILLIS, serial, guarded(this::lookUpClaim));
         } else {
             RefusalReason reason = reply.outcome().refusal().orElse(RefusalReason.INTERNAL_ERROR);
             refuse(Refusal.of(reason, reason.notRun() && !ledger.mayRun(), ""));
@@ -286,20 +274,21 @@
             if (ended) {
                 return;
             }
-            if (mayRetry && (released || !failure.notRun())) {
+            lastFailure = mayRetry ? null : failure;
+            if (mayRetry) {
                 context.counters().retried(failure.reason());
-                lookUpClaim(true);
+                lookUpClaim();
             } else if (released || RetryPolicy.isFinal(failure.reason())) {
                 refuse(Refusal.of(failure.reason(), ledger.isNotRun(), failure.detail()));
             } else {
-                lookUpClaim(false);
+                lookUpClaim();
             }
         });
     }
 
-    private void lookUpClaim(boolean mayRun) {
+    private void lookUpClaim() {
         if (!ended) {
-            then(claim.begin(), message -> claimAnswered(message, mayRun));
+            then(claim.begin(), this::claimAnswered);
         }
     }
 
@@ -367,6 +356,7 @@
             step.release();
             fail(RefusalReason.STEP_FENCED, "");
         } else {
+            step.finished(call.newMessages(), recorded);
             deliver(recorded, headers());
         }
     }
@@ -409,10 +399,8 @@
         then(claim.release(), released -> {
             if (released) {
                 ledger.claimReleased();
-                cancelRun();
-            } else if (run != null) {
-                run.detach();
             }
+            leaveRun(released);
             giveUp(Refusal.of(reason, ledger.isNotRun(), detail));
         });
     }
@@ -420,7 +408,7 @@
     private void refuse(Refusal refusal) {
         if (!ended) {
             end();
-            cancelRun();
+            leaveRun(true);
             giveUp(refusal);
         }
     }
@@ -433,9 +421,8 @@
         answer.refuse(refusal);
     }
 
-    private void cancelRun() {
-        if (run != null) {
-            run.cancel();
+    private void leaveRun(boolean cancel) {
+        if (run != null && run.leave(cancel)) {
             context.endpoints().failed(run.endpoint(), false);
         }
     }
@@ -473,7 +460,10 @@
 
     private void controlFailed(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        if (cause instanceof WireException) {
+        if (cause instanceof WireException wire) {
+            if (!wire.mayHaveArrived() && !ledger.mayRun()) {
+                ledger.claimNotSent();
+            }
             boolean known = ledger.isNotRun();
             fail(known ? RefusalReason.CONTROL_UNAVAILABLE : RefusalReason.OUTCOME_UNCONFIRMED, "");
         } else {
--- a/entry/src/main/java/org/cicadahead/entry/RunLedger.java
+++ b/entry/src/main/java/org/cicadahead/entry/RunLedger.java
@@ -53,6 +53,11 @@
         uncertain = 0;
     }
 
+    /** Notes that the claim was not taken, as control certainly did not get the request for it. */
+    void claimNotSent() {
+        claimUnsettled = false;
+    }
+
     /** Returns whether the request certainly did not run and will not run. */
     boolean isNotRun() {
         return open == 0 && uncertain == 0 && !claimUnsettled;
--- a/entry/src/main/java/org/cicadahead/entry/StepSession.java
+++ b/entry/src/main/java/org/cicadahead/entry/StepSession.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import org.cicadahead.caller.CallerRequest;
@@ -74,6 +75,13 @@
         if (request.step() == 1) {
             return beginStep(work);
         }
+        Optional<HistoryCache.Entry> cached =
+                context.histories().find(program, request.step() - 1, context.nowMillis());
+        if (cached.isPresent()) {
+            root = cached.get().root();
+            history.addAll(cached.get().records());
+            return beginStep(work);
+        }
         return context.control()
                 .call(new ReadProgram(program, 1), Message.class, CONTROL_TIMEOUT_MILLIS)
                 .thenCompose(view -> {
@@ -110,6 +118,17 @@
         return context.control().call(finish, Done.class, FINISH_TIMEOUT_MILLIS);
     }
 
+    /** Keeps the history for the next step and stops renewing the lease. */
+    void finished(byte[] messages, RecordedAnswer answer) {
+        history.add(new HistoryRecord(request.step(), messages, answer.encode()));
+        if (request.end()) {
+            context.histories().remove(program);
+        } else {
+            context.histories().put(program, new HistoryCache.Entry(root, List.copyOf(history)), context.nowMillis());
+        }
+        release();
+    }
+
     /** Gives the step up, so that a resend may run it at once. If this fails, the lease ends by itself. */
     void abandon(long usedTokens) {
         if (step != null) {
