--- a/endpoint/src/main/java/org/cicadahead/endpoint/EndpointNode.java
+++ b/endpoint/src/main/java/org/cicadahead/endpoint/EndpointNode.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.cicadahead.crash.CrashAttribution;
 import org.cicadahead.engine.EngineClient;
 import org.cicadahead.engine.EngineStatus;
@@ -67,6 +68,7 @@
     private final CacheKeeper cache;
     private final RunFlow flow;
     private final Set<RequestDigest> clearing = ConcurrentHashMap.newKeySet();
+    private final AtomicBoolean stopping = new AtomicBoolean();
     private PeerServer server;
     private SyncLoop sync;
     private volatile boolean draining;
@@ -128,6 +130,9 @@
 
     @Override
     public void shutdown(long timeoutMillis) {
+        if (!stopping.compareAndSet(false, true)) {
+            return;
+        }
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
         leaving = true;
         LOG.infof("endpoint: %s is leaving with %d runs open", config.endpoint(), flow.open());
