Take ports for restarted test servers from outside the ephemeral range

Ruled out: a leaked listener, as the port was an ephemeral one and the test passed alone. Change: TestPorts in the test jar of core, used by raft, control and daemon; the codec test moved to the package of the codec, since the layering test now sees the test jar.

--- a/control/src/test/java/org/cicadahead/control/TestReplica.java
+++ b/control/src/test/java/org/cicadahead/control/TestReplica.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,6 +14,7 @@
 import org.cicadahead.node.NodeException;
 import org.cicadahead.protocol.DaemonInfo;
 import org.cicadahead.replication.ReplicationConfig;
+import org.cicadahead.wire.TestPorts;
 
 /** Settings of a replica on loopback, which can be started several times over the same folder. */
 record TestReplica(String name, Path folder, int port, int adminPort, List<String> members) {
@@ -24,13 +24,9 @@
     }
 
     static List<TestReplica> group(Path folder, int size) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
+        List<Integer> ports = new ArrayList<>();
         for (int i = 0; i < 2 * size; i++) {
-            sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-        }
-        List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
-        for (ServerSocket socket : sockets) {
-            socket.close();
+            ports.add(TestPorts.free());
         }
         List<String> members =
                 ports.subList(0, size).stream().map(p -> "127.0.0.1:" + p).toList();
--- a/core/src/test/java/org/cicadahead/protocol/MessageCodecTest.java
+++ b/core/src/test/java/org/cicadahead/wire/CodecTest.java
@@ -1,4 +1,4 @@
-package org.cicadahead.protocol;
+package org.cicadahead.wire;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -22,11 +22,18 @@
 import org.cicadahead.model.RouteName;
 import org.cicadahead.model.RunId;
 import org.cicadahead.model.ZoneName;
-import org.cicadahead.wire.Codec;
+import org.cicadahead.protocol.Announcement;
+import org.cicadahead.protocol.ClaimRef;
+import org.cicadahead.protocol.DaemonInfo;
+import org.cicadahead.protocol.EndpointLoad;
+import org.cicadahead.protocol.GrantReply;
+import org.cicadahead.protocol.RunEnd;
+import org.cicadahead.protocol.RunRequest;
+import org.cicadahead.protocol.Sync;
 import org.junit.jupiter.api.Test;
 
 /** Guards against messages that change when they are sent. */
-class MessageCodecTest {
+class CodecTest {
     private static final ProgramKey PROGRAM = ProgramKey.of(OrganisationId.of("smiths"), ProgramId.of("p1"));
 
     @Test
--- a/daemon/src/test/java/org/cicadahead/daemon/DaemonTest.java
+++ b/daemon/src/test/java/org/cicadahead/daemon/DaemonTest.java
@@ -5,7 +5,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -15,6 +14,7 @@
 import org.cicadahead.model.Role;
 import org.cicadahead.node.Node;
 import org.cicadahead.node.NodeException;
+import org.cicadahead.wire.TestPorts;
 import org.junit.jupiter.api.Test;
 
 class DaemonTest {
@@ -24,7 +24,7 @@
     /** Guards against a load balancer that sends requests to an entry that is not ready, and against lost metrics. */
     @Test
     void servesHealthReadinessAndMetrics() throws Exception {
-        Daemon daemon = Daemon.start(settings(freePort(), 1_000), this::start);
+        Daemon daemon = Daemon.start(settings(TestPorts.free(), 1_000), this::start);
         try {
             assertThat(get(daemon, "/healthz").statusCode()).isEqualTo(200);
             assertThat(get(daemon, "/readyz").statusCode()).isEqualTo(503);
@@ -43,7 +43,7 @@
     @Test
     void cutsOffShutdownAtTimeLimit() throws Exception {
         CountDownLatch never = new CountDownLatch(1);
-        Daemon daemon = Daemon.start(settings(freePort(), 1), (role, settings, metrics) -> new Node() {
+        Daemon daemon = Daemon.start(settings(TestPorts.free(), 1), (role, settings, metrics) -> new Node() {
             @Override
             public boolean isReady() {
                 return true;
@@ -67,7 +67,7 @@
     void failsWhenRoleCannotStart() {
         assertThrows(
                 NodeException.class,
-                () -> Daemon.start(settings(freePort(), 1_000), (role, settings, metrics) -> {
+                () -> Daemon.start(settings(TestPorts.free(), 1_000), (role, settings, metrics) -> {
                     throw new NodeException("no", null);
                 }));
     }
@@ -107,10 +107,4 @@
                 listen = "127.0.0.1:1"
                 """.formatted(timeoutMillis, healthPort));
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
 }
--- a/raft/src/test/java/org/cicadahead/replication/TestGroup.java
+++ b/raft/src/test/java/org/cicadahead/replication/TestGroup.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -21,6 +20,7 @@
 import org.cicadahead.protocol.MessageCatalog;
 import org.cicadahead.wire.PeerHandler;
 import org.cicadahead.wire.PeerServer;
+import org.cicadahead.wire.TestPorts;
 import org.cicadahead.wire.WireException;
 
 /** A group of replicas in this process, over loopback connections. */
@@ -96,13 +96,11 @@
     }
 
     Replica newReplica() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            String address = "127.0.0.1:" + free.getLocalPort();
-            addresses.add(address);
-            Replica replica = new Replica(folder.resolve("r" + replicas.size()), address);
-            replicas.add(replica);
-            return replica;
-        }
+        String address = "127.0.0.1:" + TestPorts.free();
+        addresses.add(address);
+        Replica replica = new Replica(folder.resolve("r" + replicas.size()), address);
+        replicas.add(replica);
+        return replica;
     }
 
     TestGroup startAll() throws Exception {
