--- a/testbed/src/main/java/org/cicadahead/testbed/Main.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/Main.java
@@ -11,7 +11,13 @@
 @Command(
         name = "testbed",
         mixinStandardHelpOptions = true,
-        subcommands = {EngineCommand.class, ServiceCommand.class, QuickstartCommand.class, ProveCommand.class})
+        subcommands = {
+            EngineCommand.class,
+            ServiceCommand.class,
+            QuickstartCommand.class,
+            ProveCommand.class,
+            LoadCommand.class
+        })
 public final class Main {
 
     private Main() {}
