Do not report a run as not sent when its resume is refused

Cause: after a crash of the engine process the attempts to resume a stream are refused connections, which were reported as NOT_SENT. The run had been sent: the caller heard 'not run', and the crash was attributed to no request. The emulator within one process keeps listening, so that its tests did not show it. Change: once a run was sent, a refused connection is a lost one.

--- a/ctl/src/main/java/org/cicadahead/ctl/TextTable.java
+++ b/ctl/src/main/java/org/cicadahead/ctl/TextTable.java
@@ -10,6 +10,7 @@
 
 /** Renders JSON as text: a list of objects as a table, an object as one line a field. */
 final class TextTable {
+    private static final String BODY = "body";
 
     private TextTable() {}
 
@@ -81,9 +82,15 @@
             row.put(prefix, cell(node));
             return;
         }
-        node.properties()
-                .forEach(field -> flatten(
-                        prefix.isEmpty() ? field.getKey() : prefix + "." + field.getKey(), field.getValue(), row));
+        node.properties().forEach(field -> flatten(column(prefix, field.getKey()), field.getValue(), row));
+    }
+
+    /** The fields of a resource stand beside its revision without a prefix. */
+    private static String column(String prefix, String field) {
+        if (field.equals(BODY)) {
+            return prefix;
+        }
+        return prefix.isEmpty() ? field : prefix + "." + field;
     }
 
     private static String cell(JsonNode node) {
--- a/endpoint/src/main/java/org/cicadahead/engine/StreamingCall.java
+++ b/endpoint/src/main/java/org/cicadahead/engine/StreamingCall.java
@@ -166,12 +166,20 @@
         } else if (problem != null) {
             fail(problem);
         } else if (run.stream()) {
-            resume(client.translate("the connection was lost", result.getFailure()));
+            resume(lost(result.getFailure()));
         } else {
-            fail(client.translate("the connection was lost", result.getFailure()));
+            fail(lost(result.getFailure()));
         }
     }
 
+    /** A refused connection on an attempt to resume does not mean that the run was not sent: the engine has crashed. */
+    private EngineException lost(Throwable failure) {
+        EngineException cause = client.translate("the connection was lost", failure);
+        return cause.kind() == EngineException.Kind.NOT_SENT
+                ? new EngineException(EngineException.Kind.LOST, "the connection was lost", failure)
+                : cause;
+    }
+
     /** Asks for the rest of the stream; the engine keeps it for some seconds after a connection is lost. */
     private void resume(EngineException cause) {
         if (cause.kind() == EngineException.Kind.TIMEOUT) {
