Test control over restarts, leader changes and lost leases

Ruled out: a list of ends as a queue, which each heartbeat of an endpoint would walk from its start; a ring gives the missing ends directly.

The admin API shows the sizes of steps and no content of callers.

A step without an idle limit now takes the default one instead of ending at the next round.

--- a/control/src/main/java/org/cicadahead/operator/FleetRequests.java
+++ b/control/src/main/java/org/cicadahead/operator/FleetRequests.java
@@ -1,5 +1,6 @@
 package org.cicadahead.operator;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -10,6 +11,7 @@
 import org.cicadahead.model.OrganisationId;
 import org.cicadahead.model.ProgramId;
 import org.cicadahead.model.ProgramKey;
+import org.cicadahead.protocol.HistoryRecord;
 import org.cicadahead.protocol.ProgramView;
 import org.cicadahead.wire.Codec;
 
@@ -62,12 +64,25 @@
             ProgramKey key = ProgramKey.of(OrganisationId.of(organisation), ProgramId.of(id));
             ProgramView view = backend.program(key)
                     .orElseThrow(() -> new AdminException(AdminProblem.NOT_FOUND, "there is no program " + key));
-            return AdminReply.of(AdminReply.OK, view);
+            return AdminReply.of(AdminReply.OK, show(view));
         } catch (IllegalArgumentException e) {
             throw new AdminException(AdminProblem.MALFORMED, e.getMessage());
         }
     }
 
+    /** The content of steps is the caller's; operators see only its size. */
+    private static ObjectNode show(ProgramView view) {
+        ObjectNode shown = Codec.json().valueToTree(view);
+        ArrayNode steps = shown.putArray("history");
+        for (HistoryRecord record : view.history()) {
+            steps.addObject()
+                    .put("step", record.step())
+                    .put("request_bytes", record.request() == null ? 0 : record.request().length)
+                    .put("answer_bytes", record.answer() == null ? 0 : record.answer().length);
+        }
+        return shown;
+    }
+
     private static void await(CompletableFuture<Void> change) throws AdminException {
         try {
             change.get(MEMBERS_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
--- a/control/src/main/java/org/cicadahead/state/EndedPrograms.java
+++ b/control/src/main/java/org/cicadahead/state/EndedPrograms.java
@@ -1,8 +1,6 @@
 package org.cicadahead.state;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import org.cicadahead.model.ProgramKey;
@@ -15,8 +13,11 @@
     /** Ends in one reply, so that a reply stays small. */
     public static final int MAX_PER_DELTA = 1_000;
 
-    private final Deque<ProgramKey> listed = new ArrayDeque<>();
+    /** The end with a number is at that number modulo the size, so that a heartbeat copies only what it lacks. */
+    private final ProgramKey[] ring = new ProgramKey[LISTED];
+
     private long version;
+    private int listed;
 
     EndedPrograms() {}
 
@@ -39,32 +40,34 @@
         if (sinceVersion == version) {
             return Optional.empty();
         }
-        long oldest = version - listed.size() + 1;
-        if (sinceVersion < oldest - 1 || sinceVersion > version) {
+        if (sinceVersion < version - listed || sinceVersion > version) {
             return Optional.of(new EndedDelta(true, version, List.of()));
         }
-        List<ProgramKey> later = listed.stream()
-                .skip(sinceVersion - oldest + 1)
-                .limit(MAX_PER_DELTA)
-                .toList();
-        return Optional.of(new EndedDelta(false, sinceVersion + later.size(), later));
+        long until = Math.min(version, sinceVersion + MAX_PER_DELTA);
+        return Optional.of(new EndedDelta(false, until, range(sinceVersion, until)));
     }
 
     void add(ProgramKey program) {
         version++;
-        listed.addLast(program);
-        if (listed.size() > LISTED) {
-            listed.removeFirst();
-        }
+        ring[(int) (version % LISTED)] = program;
+        listed = Math.min(LISTED, listed + 1);
     }
 
     EndedImage image() {
-        return new EndedImage(version, new ArrayList<>(listed));
+        return new EndedImage(version, range(version - listed, version));
     }
 
     void restore(EndedImage image) {
-        version = image.version();
-        listed.addAll(image.listed());
+        version = image.version() - image.listed().size();
+        image.listed().forEach(this::add);
+    }
+
+    private List<ProgramKey> range(long after, long until) {
+        List<ProgramKey> programs = new ArrayList<>((int) (until - after));
+        for (long number = after + 1; number <= until; number++) {
+            programs.add(ring[(int) (number % LISTED)]);
+        }
+        return programs;
     }
 
     /**
--- a/control/src/main/java/org/cicadahead/state/ProgramTable.java
+++ b/control/src/main/java/org/cicadahead/state/ProgramTable.java
@@ -11,6 +11,7 @@
 import java.util.function.LongSupplier;
 import org.cicadahead.model.ProgramId;
 import org.cicadahead.model.ProgramKey;
+import org.cicadahead.model.Route;
 import org.cicadahead.protocol.AbandonStep;
 import org.cicadahead.protocol.BeginStep;
 import org.cicadahead.protocol.Done;
@@ -333,7 +334,8 @@
                 command.entry().value(),
                 reserve,
                 nowMillis + STEP_LEASE_MILLIS));
-        program.idleLimitMillis = command.idleLimitMillis();
+        program.idleLimitMillis =
+                command.idleLimitMillis() > 0 ? command.idleLimitMillis() : Route.DEFAULT_IDLE_LIMIT_MILLIS;
         program.touch(nowMillis);
         return granted(program);
     }
--- /dev/null
+++ b/control/src/test/java/org/cicadahead/control/ControlGroupTest.java
@@ -0,0 +1,183 @@
+package org.cicadahead.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.cicadahead.model.DaemonId;
+import org.cicadahead.model.OrganisationId;
+import org.cicadahead.model.ProgramId;
+import org.cicadahead.model.ProgramKey;
+import org.cicadahead.model.RequestDigest;
+import org.cicadahead.model.RequestId;
+import org.cicadahead.model.ResourceKind;
+import org.cicadahead.model.RouteName;
+import org.cicadahead.protocol.BeginStep;
+import org.cicadahead.protocol.Done;
+import org.cicadahead.protocol.EditReply;
+import org.cicadahead.protocol.FinishStep;
+import org.cicadahead.protocol.GrantLine;
+import org.cicadahead.protocol.GrantReply;
+import org.cicadahead.protocol.GrantRequest;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.protocol.MessageCatalog;
+import org.cicadahead.protocol.ProgramView;
+import org.cicadahead.protocol.PutResource;
+import org.cicadahead.protocol.ReadProgram;
+import org.cicadahead.protocol.StepRef;
+import org.cicadahead.protocol.StepReply;
+import org.cicadahead.wire.ControlClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against state that is lost or mixed over a restart, a snapshot or a change of leader. */
+class ControlGroupTest {
+    private static final OrganisationId ACME = OrganisationId.of("acme");
+    private static final RequestDigest DIGEST = RequestDigest.of("ab".repeat(32));
+    private static final DaemonId ENTRY = DaemonId.of("entry-1");
+
+    @TempDir
+    Path folder;
+
+    private final List<ControlNode> running = new ArrayList<>();
+    private ControlClient client;
+
+    @AfterEach
+    void stop() {
+        client.close();
+        running.forEach(node -> node.shutdown(0));
+    }
+
+    @Test
+    void historiesAreRebuiltFromSnapshotAndLog() throws Exception {
+        TestReplica replica = TestReplica.create(folder);
+        running.add(replica.startWithSnapshots());
+        connect(List.of(replica));
+        for (int step = 1; step <= 40; step++) {
+            run("a", step);
+            run("b", step);
+        }
+        running.remove(0).shutdown(0);
+        running.add(replica.startWithSnapshots());
+        check("a", 40);
+        check("b", 40);
+        run("a", 41);
+        check("a", 41);
+    }
+
+    @Test
+    void nextLeaderHasAllStateAndStartsGrantsStrictly() throws Exception {
+        List<TestReplica> group = TestReplica.group(folder, 3);
+        for (TestReplica replica : group) {
+            running.add(replica.start());
+        }
+        connect(group);
+        PutResource edit = new PutResource(
+                ResourceKind.ORGANISATION,
+                "acme",
+                JsonNodeFactory.instance
+                        .objectNode()
+                        .put("name", "acme")
+                        .put("rate_per_second", 0.25)
+                        .put("burst", 4),
+                0,
+                RequestId.of("r1"));
+        EditReply first = call(edit, EditReply.class);
+        assertThat(first.outcome().accepted()).isTrue();
+        run("a", 1);
+        ControlNode leader = leader();
+        running.remove(leader);
+        leader.shutdown(2_000);
+        EditReply resent = call(edit, EditReply.class);
+        assertThat(resent.current().revision()).isEqualTo(first.current().revision());
+        GrantRequest request = new GrantRequest(ENTRY, 1, List.of(new GrantLine(ACME, 1, List.of())));
+        assertThat(call(request, GrantReply.class).grants().get(0).requests()).isEqualTo(0);
+        check("a", 1);
+        run("a", 2);
+        check("a", 2);
+    }
+
+    @Test
+    void followerSendsOperatorsToTheLeader() throws Exception {
+        List<TestReplica> group = TestReplica.group(folder, 3);
+        for (TestReplica replica : group) {
+            running.add(replica.start());
+        }
+        connect(group);
+        run("a", 1);
+        ControlNode leader = leader();
+        ControlNode follower =
+                running.stream().filter(n -> n != leader).findFirst().orElseThrow();
+        HttpResponse<String> redirect = status(follower);
+        assertThat(redirect.statusCode()).isEqualTo(307);
+        assertThat(redirect.headers().firstValue("Location"))
+                .hasValue("http://127.0.0.1:" + leader.adminPort() + "/admin/v1/status");
+        assertThat(status(leader).body()).contains("\"members\":[{\"replica\":");
+    }
+
+    private static BeginStep begin(String program, int step) {
+        return new BeginStep(
+                key(program), null, step, DIGEST, RouteName.of("chat"), 1, 1_000, 99, 60_000, 0, ENTRY, "n" + step);
+    }
+
+    private static ProgramKey key(String program) {
+        return ProgramKey.of(ACME, ProgramId.of(program));
+    }
+
+    private static HttpResponse<String> status(ControlNode node) throws Exception {
+        URI uri = URI.create("http://127.0.0.1:" + node.adminPort() + "/admin/v1/status");
+        HttpRequest request = HttpRequest.newBuilder(uri)
+                .header("Authorization", "Bearer secret")
+                .build();
+        return HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    private ControlNode leader() throws Exception {
+        for (ControlNode node : running) {
+            if (status(node).statusCode() == 200) {
+                return node;
+            }
+        }
+        throw new AssertionError("there is no leader");
+    }
+
+    private void connect(List<TestReplica> group) {
+        client = ControlClient.to(
+                group.stream()
+                        .map(r -> new InetSocketAddress(InetAddress.getLoopbackAddress(), r.port()))
+                        .toList(),
+                MessageCatalog.standard());
+    }
+
+    private void run(String program, int step) throws Exception {
+        StepReply begun = call(begin(program, step), StepReply.class);
+        byte[] text = (program + step).getBytes(StandardCharsets.UTF_8);
+        StepRef ref = new StepRef(key(program), step, begun.fence());
+        assertThat(call(new FinishStep(ref, 1, text, text, false), Done.class).accepted())
+                .isTrue();
+    }
+
+    private void check(String program, int steps) throws Exception {
+        ProgramView view = call(new ReadProgram(key(program), 1), ProgramView.class);
+        assertThat(view.history()).hasSize(steps);
+        for (int step = 1; step <= steps; step++) {
+            byte[] answer = view.history().get(step - 1).answer();
+            assertThat(new String(answer, StandardCharsets.UTF_8)).isEqualTo(program + step);
+        }
+    }
+
+    private <R extends Message> R call(Message request, Class<R> type) throws Exception {
+        return client.call(request, type, 10_000).get(15, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/cicadahead/control/ControlServiceTest.java
@@ -0,0 +1,286 @@
+package org.cicadahead.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.cicadahead.model.ClaimKey;
+import org.cicadahead.model.DaemonId;
+import org.cicadahead.model.EndpointId;
+import org.cicadahead.model.EndpointKind;
+import org.cicadahead.model.EndpointState;
+import org.cicadahead.model.IdempotencyKey;
+import org.cicadahead.model.OrganisationId;
+import org.cicadahead.model.ProgramId;
+import org.cicadahead.model.ProgramKey;
+import org.cicadahead.model.RequestDigest;
+import org.cicadahead.model.RequestId;
+import org.cicadahead.model.ResourceKind;
+import org.cicadahead.model.Role;
+import org.cicadahead.model.RouteName;
+import org.cicadahead.model.RunId;
+import org.cicadahead.model.ZoneName;
+import org.cicadahead.protocol.Announcement;
+import org.cicadahead.protocol.BeginClaim;
+import org.cicadahead.protocol.BeginStep;
+import org.cicadahead.protocol.CheckPrograms;
+import org.cicadahead.protocol.ClaimOutcome;
+import org.cicadahead.protocol.ClaimRef;
+import org.cicadahead.protocol.ClaimReply;
+import org.cicadahead.protocol.DaemonInfo;
+import org.cicadahead.protocol.EditOutcome;
+import org.cicadahead.protocol.EditReply;
+import org.cicadahead.protocol.EndProgram;
+import org.cicadahead.protocol.Grant;
+import org.cicadahead.protocol.GrantLine;
+import org.cicadahead.protocol.GrantReply;
+import org.cicadahead.protocol.GrantRequest;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.protocol.NotLeader;
+import org.cicadahead.protocol.ProgramsGone;
+import org.cicadahead.protocol.PutResource;
+import org.cicadahead.protocol.ReadProgram;
+import org.cicadahead.protocol.StartClaim;
+import org.cicadahead.protocol.Sync;
+import org.cicadahead.protocol.SyncReply;
+import org.cicadahead.replication.ReplicationException;
+import org.cicadahead.wire.Responder;
+import org.cicadahead.wire.WireException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against a replica that answers without the leader lease, and against duties of the leader left undone. */
+class ControlServiceTest {
+    private static final OrganisationId ACME = OrganisationId.of("acme");
+    private static final ProgramKey PROGRAM = ProgramKey.of(ACME, ProgramId.of("p"));
+    private static final ClaimKey CLAIM = ClaimKey.of(ACME, IdempotencyKey.of("k"));
+    private static final RequestDigest DIGEST = RequestDigest.of("ab".repeat(32));
+    private static final DaemonId ENTRY = DaemonId.of("entry");
+    private static final EndpointId ENDPOINT = EndpointId.of("e1");
+
+    @TempDir
+    Path folder;
+
+    private final MetricRegistry metrics = new MetricRegistry();
+    private HistoryStore histories;
+    private FakeLog log;
+    private ControlService service;
+    private Housekeeping housekeeping;
+    private long now = 50_000;
+
+    @BeforeEach
+    void create() throws IOException {
+        histories = HistoryStore.open(folder, HistoryStore.SEGMENT_BYTES);
+        ControlStateMachine machine = new ControlStateMachine(histories);
+        log = new FakeLog(machine);
+        Leadership leadership = new Leadership(log, () -> now);
+        service = new ControlService(log, machine, histories, leadership, new ControlMetrics(metrics), Runnable::run);
+        housekeeping = new Housekeeping(service, machine, leadership, () -> log.wallMillis);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        histories.close();
+    }
+
+    @Test
+    void withoutTheLeaseNothingIsReadOrGranted() throws Exception {
+        log.lease = false;
+        for (Message request : List.of(
+                sync(Role.ENTRY, 0, 0, null),
+                grantRequest(),
+                new ReadProgram(PROGRAM, 1),
+                new CheckPrograms(List.of(PROGRAM)))) {
+            assertThat(ask(request)).isEqualTo(new NotLeader("10.0.0.1:7"));
+        }
+    }
+
+    @Test
+    void commandThatMayBeCommittedFailsAndOthersAreSentToTheLeader() throws Exception {
+        log.failure = new ReplicationException(true, "lost", null);
+        assertThat(ask(new EndProgram(PROGRAM, "x"))).isEqualTo("lost");
+        log.failure = new ReplicationException(false, "not the leader", null);
+        assertThat(ask(new EndProgram(PROGRAM, "x"))).isInstanceOf(NotLeader.class);
+    }
+
+    @Test
+    void invalidResourceIsNeverProposed() throws Exception {
+        PutResource put = new PutResource(
+                ResourceKind.POOL,
+                "a",
+                JsonNodeFactory.instance.objectNode().put("name", "other"),
+                0,
+                RequestId.of("r"));
+        assertThat(((EditReply) ask(put)).outcome()).isEqualTo(EditOutcome.INVALID);
+        assertThat(((SyncReply) ask(sync(Role.ENTRY, 0, 0, null))).configuration())
+                .isNull();
+    }
+
+    @Test
+    void nextTermForgetsGrantsAndKeepsEndpointsOfReceivers() throws Exception {
+        addOrganisation();
+        SyncReply before = (SyncReply) ask(sync(Role.ENDPOINT, 0, 0, announcement(1)));
+        assertThat(before.endpoints()).isNull();
+        SyncReply seen = (SyncReply) ask(sync(Role.ENTRY, 0, 0, null));
+        assertThat(seen.endpoints().announced()).hasSize(1);
+        ask(grantRequest());
+        now += 10_000;
+        assertThat(grant().requests()).isEqualTo(1);
+        log.term = 2;
+        assertThat(grant().requests()).isEqualTo(0);
+        SyncReply next = (SyncReply)
+                ask(sync(Role.ENTRY, seen.endpoints().epoch(), seen.endpoints().version(), null));
+        assertThat(next.endpoints().full()).isFalse();
+        assertThat(next.endpoints().removed()).isEmpty();
+    }
+
+    @Test
+    void idleProgramIsEndedByTheLeaderOnly() throws Exception {
+        ask(step());
+        log.wallMillis += 60_000;
+        log.lease = false;
+        housekeeping.run();
+        log.lease = true;
+        assertThat(gone()).isEmpty();
+        housekeeping.run();
+        assertThat(gone()).containsExactly(PROGRAM);
+    }
+
+    @Test
+    void claimOfAnAbsentEndpointBecomesUnknownAfterFiveSeconds() throws Exception {
+        startClaim();
+        ask(sync(Role.ENDPOINT, 0, 0, announcement(1)));
+        pass(2_000);
+        ask(sync(Role.ENDPOINT, 0, 0, announcement(1)));
+        pass(2_500);
+        pass(4_500);
+        assertThat(claim()).isEqualTo(ClaimOutcome.RUNNING);
+        pass(500);
+        assertThat(claim()).isEqualTo(ClaimOutcome.UNKNOWN);
+    }
+
+    @Test
+    void newLeaderWaitsBeforeItCallsAnEndpointAbsent() throws Exception {
+        startClaim();
+        pass(6_500);
+        log.term = 2;
+        pass(6_500);
+        assertThat(claim()).isEqualTo(ClaimOutcome.RUNNING);
+        pass(1_000);
+        assertThat(claim()).isEqualTo(ClaimOutcome.UNKNOWN);
+    }
+
+    @Test
+    void restartedEndpointOrphansTheClaimsOfItsOldGeneration() throws Exception {
+        startClaim();
+        ask(sync(Role.ENDPOINT, 0, 0, announcement(1)));
+        housekeeping.run();
+        assertThat(claim()).isEqualTo(ClaimOutcome.RUNNING);
+        ask(sync(Role.ENDPOINT, 0, 0, announcement(2)));
+        housekeeping.run();
+        assertThat(claim()).isEqualTo(ClaimOutcome.UNKNOWN);
+        assertThat(metrics.counter("control.refusals.outcome_unknown").getCount())
+                .isEqualTo(1);
+    }
+
+    private void startClaim() throws WireException {
+        ClaimReply begun = (ClaimReply) ask(new BeginClaim(CLAIM, DIGEST, RouteName.of("book"), ENTRY, "n1"));
+        ask(new StartClaim(new ClaimRef(CLAIM, begun.fence()), ENDPOINT, 1, RunId.of("r")));
+    }
+
+    private ClaimOutcome claim() throws WireException {
+        return ((ClaimReply) ask(new BeginClaim(CLAIM, DIGEST, RouteName.of("book"), ENTRY, "n2"))).outcome();
+    }
+
+    private List<ProgramKey> gone() throws WireException {
+        return ((ProgramsGone) ask(new CheckPrograms(List.of(PROGRAM)))).gone();
+    }
+
+    private void pass(long millis) {
+        for (long until = now + millis; now < until; now += 500) {
+            housekeeping.run();
+        }
+        housekeeping.run();
+    }
+
+    private void addOrganisation() throws WireException {
+        ask(new PutResource(
+                ResourceKind.ORGANISATION,
+                "acme",
+                JsonNodeFactory.instance
+                        .objectNode()
+                        .put("name", "acme")
+                        .put("rate_per_second", 1)
+                        .put("burst", 2),
+                0,
+                RequestId.of("r")));
+    }
+
+    private Grant grant() throws WireException {
+        return ((GrantReply) ask(grantRequest())).grants().get(0);
+    }
+
+    private Object ask(Message request) throws WireException {
+        List<Object> answers = new ArrayList<>();
+        service.handle(request, new Responder() {
+            @Override
+            public boolean part(Message part) {
+                return false;
+            }
+
+            @Override
+            public void reply(Message reply) {
+                answers.add(reply);
+            }
+
+            @Override
+            public void fail(String text) {
+                answers.add(text);
+            }
+
+            @Override
+            public void onCancel(Runnable action) {}
+
+            @Override
+            public long queuedBytes() {
+                return 0;
+            }
+        });
+        assertThat(answers).hasSize(1);
+        return answers.get(0);
+    }
+
+    private static GrantRequest grantRequest() {
+        return new GrantRequest(ENTRY, 1, List.of(new GrantLine(ACME, 1, List.of())));
+    }
+
+    private static BeginStep step() {
+        return new BeginStep(PROGRAM, null, 1, DIGEST, RouteName.of("chat"), 1, 100, 9, 60_000, 0, ENTRY, "n");
+    }
+
+    private static Announcement announcement(long generation) {
+        return new Announcement(
+                ENDPOINT,
+                generation,
+                EndpointKind.SERVICE,
+                Set.of(),
+                Set.of(),
+                ZoneName.of("a"),
+                "127.0.0.1:9",
+                EndpointState.READY,
+                4);
+    }
+
+    private static Sync sync(Role role, long epoch, long version, Announcement announcement) {
+        DaemonInfo daemon =
+                new DaemonInfo(DaemonId.of("d-" + role.code()), Set.of(role), ZoneName.of("a"), 1, "127.0.0.1:3");
+        return new Sync(daemon, 0, epoch, version, -1, 0, announcement, null);
+    }
+}
--- a/control/src/test/java/org/cicadahead/control/SingleNodeLog.java
+++ b/control/src/test/java/org/cicadahead/control/FakeLog.java
@@ -8,24 +8,27 @@
 import org.cicadahead.replication.ReplicationException;
 import org.cicadahead.replication.StateMachine;
 
-/** A log of one replica that keeps nothing; stands in until the replicated one is wired. */
-final class SingleNodeLog implements ReplicatedLog {
+/** A log of one replica that keeps nothing; tests set its clock, lease, term and failure. */
+final class FakeLog implements ReplicatedLog {
     private final StateMachine machine;
-    private final String address;
+    long wallMillis = 1_000_000;
+    boolean lease = true;
+    long term = 1;
+    ReplicationException failure;
     private long index;
-    private long lastMillis;
 
-    SingleNodeLog(StateMachine machine, String address) {
+    FakeLog(StateMachine machine) {
         this.machine = machine;
-        this.address = address;
     }
 
     @Override
-    public synchronized CompletableFuture<Message> propose(Command command) {
+    public CompletableFuture<Message> propose(Command command) {
+        if (failure != null) {
+            return CompletableFuture.failedFuture(failure);
+        }
         index++;
-        lastMillis = Math.max(lastMillis, System.currentTimeMillis());
         try {
-            return CompletableFuture.completedFuture(machine.apply(index, lastMillis, command));
+            return CompletableFuture.completedFuture(machine.apply(index, wallMillis, command));
         } catch (IOException e) {
             return CompletableFuture.failedFuture(new ReplicationException(true, "cannot apply", e));
         }
@@ -33,16 +36,16 @@
 
     @Override
     public boolean holdsLease(long nowMillis) {
-        return true;
+        return lease;
     }
 
     @Override
     public long term() {
-        return 1;
+        return term;
     }
 
     @Override
     public String leaderAddress() {
-        return address;
+        return "10.0.0.1:7";
     }
 }
