Let an entry renew a pending claim, and share samples between tests

Cause: a request that waits in an endpoint's queue for more than 5 s lost its pending claim to each resend of its caller, which then queued afresh.

Ruled out: a longer lease, as the claim of a lost entry would wait as long.

Change: BeginClaim under the same nonce renews the lease of a pending claim under the same fence. Tests of control take their messages from one class.

--- a/control/src/main/java/org/cicadahead/state/Claim.java
+++ b/control/src/main/java/org/cicadahead/state/Claim.java
@@ -36,6 +36,10 @@
         return new Claim(key, digest, ClaimState.PENDING, fence, nonce, nowMillis, null, 0, null, null);
     }
 
+    Claim renewed(long nowMillis) {
+        return new Claim(key, digest, state, fence, nonce, nowMillis, endpoint, generation, run, outcome);
+    }
+
     Claim started(EndpointId byEndpoint, long byGeneration, RunId byRun, long nowMillis) {
         return new Claim(
                 key, digest, ClaimState.STARTED, fence, nonce, nowMillis, byEndpoint, byGeneration, byRun, null);
--- a/control/src/main/java/org/cicadahead/state/ClaimTable.java
+++ b/control/src/main/java/org/cicadahead/state/ClaimTable.java
@@ -34,7 +34,8 @@
     public static final long RETENTION_MILLIS = 24 * 60 * 60 * 1_000L;
     /**
      * After this time another attempt may take over a pending claim, in milliseconds. It is the lease of a step, in
-     * which a lost entry is noticed. Taking over early is safe, as the first attempt then cannot start.
+     * which a lost entry is noticed. Taking over early is safe, as the first attempt then cannot start. An entry whose
+     * request waits in a queue for longer renews the lease by sending its BeginClaim again.
      */
     public static final long PENDING_LEASE_MILLIS = 5_000;
 
@@ -91,6 +92,7 @@
         }
         if (claim.state() == ClaimState.PENDING) {
             if (claim.nonce().equals(command.nonce())) {
+                put(claim.renewed(nowMillis));
                 return new ClaimReply(ClaimOutcome.GRANTED, claim.fence(), null);
             }
             if (claim.changedMillis() + PENDING_LEASE_MILLIS <= nowMillis) {
--- a/control/src/test/java/org/cicadahead/control/ControlGroupTest.java
+++ b/control/src/test/java/org/cicadahead/control/ControlGroupTest.java
@@ -14,27 +14,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.cicadahead.model.DaemonId;
-import org.cicadahead.model.OrganisationId;
-import org.cicadahead.model.ProgramId;
 import org.cicadahead.model.ProgramKey;
-import org.cicadahead.model.RequestDigest;
 import org.cicadahead.model.RequestId;
 import org.cicadahead.model.ResourceKind;
-import org.cicadahead.model.RouteName;
-import org.cicadahead.protocol.BeginStep;
 import org.cicadahead.protocol.Done;
 import org.cicadahead.protocol.EditReply;
-import org.cicadahead.protocol.FinishStep;
-import org.cicadahead.protocol.GrantLine;
 import org.cicadahead.protocol.GrantReply;
-import org.cicadahead.protocol.GrantRequest;
 import org.cicadahead.protocol.Message;
 import org.cicadahead.protocol.MessageCatalog;
 import org.cicadahead.protocol.ProgramView;
 import org.cicadahead.protocol.PutResource;
 import org.cicadahead.protocol.ReadProgram;
-import org.cicadahead.protocol.StepRef;
 import org.cicadahead.protocol.StepReply;
 import org.cicadahead.wire.ControlClient;
 import org.junit.jupiter.api.AfterEach;
@@ -43,9 +33,6 @@
 
 /** Guards against state that is lost or mixed over a restart, a snapshot or a change of leader. */
 class ControlGroupTest {
-    private static final OrganisationId ACME = OrganisationId.of("acme");
-    private static final RequestDigest DIGEST = RequestDigest.of("ab".repeat(32));
-    private static final DaemonId ENTRY = DaemonId.of("entry-1");
 
     @TempDir
     Path folder;
@@ -101,8 +88,8 @@
         leader.shutdown(2_000);
         EditReply resent = call(edit, EditReply.class);
         assertThat(resent.current().revision()).isEqualTo(first.current().revision());
-        GrantRequest request = new GrantRequest(ENTRY, 1, List.of(new GrantLine(ACME, 1, List.of())));
-        assertThat(call(request, GrantReply.class).grants().get(0).requests()).isEqualTo(0);
+        assertThat(call(Samples.GRANT, GrantReply.class).grants().get(0).requests())
+                .isEqualTo(0);
         check("a", 1);
         run("a", 2);
         check("a", 2);
@@ -126,15 +113,6 @@
         assertThat(status(leader).body()).contains("\"members\":[{\"replica\":");
     }
 
-    private static BeginStep begin(String program, int step) {
-        return new BeginStep(
-                key(program), null, step, DIGEST, RouteName.of("chat"), 1, 1_000, 99, 60_000, 0, ENTRY, "n" + step);
-    }
-
-    private static ProgramKey key(String program) {
-        return ProgramKey.of(ACME, ProgramId.of(program));
-    }
-
     private static HttpResponse<String> status(ControlNode node) throws Exception {
         URI uri = URI.create("http://127.0.0.1:" + node.adminPort() + "/admin/v1/status");
         HttpRequest request = HttpRequest.newBuilder(uri)
@@ -161,15 +139,15 @@
     }
 
     private void run(String program, int step) throws Exception {
-        StepReply begun = call(begin(program, step), StepReply.class);
-        byte[] text = (program + step).getBytes(StandardCharsets.UTF_8);
-        StepRef ref = new StepRef(key(program), step, begun.fence());
-        assertThat(call(new FinishStep(ref, 1, text, text, false), Done.class).accepted())
+        ProgramKey key = Samples.program(program);
+        StepReply begun = call(Samples.begin(key, step, "n" + step), StepReply.class);
+        assertThat(call(Samples.finish(key, step, begun.fence(), program + step), Done.class)
+                        .accepted())
                 .isTrue();
     }
 
     private void check(String program, int steps) throws Exception {
-        ProgramView view = call(new ReadProgram(key(program), 1), ProgramView.class);
+        ProgramView view = call(new ReadProgram(Samples.program(program), 1), ProgramView.class);
         assertThat(view.history()).hasSize(steps);
         for (int step = 1; step <= steps; step++) {
             byte[] answer = view.history().get(step - 1).answer();
--- a/control/src/test/java/org/cicadahead/control/ControlNodeTest.java
+++ b/control/src/test/java/org/cicadahead/control/ControlNodeTest.java
@@ -12,34 +12,18 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.cicadahead.model.ClaimKey;
-import org.cicadahead.model.DaemonId;
 import org.cicadahead.model.EndpointId;
-import org.cicadahead.model.EndpointKind;
 import org.cicadahead.model.EndpointState;
-import org.cicadahead.model.IdempotencyKey;
 import org.cicadahead.model.OrganisationId;
-import org.cicadahead.model.PoolName;
-import org.cicadahead.model.ProgramId;
 import org.cicadahead.model.ProgramKey;
 import org.cicadahead.model.RefusalReason;
-import org.cicadahead.model.RequestDigest;
-import org.cicadahead.model.Role;
-import org.cicadahead.model.RouteName;
 import org.cicadahead.model.RunId;
-import org.cicadahead.model.ZoneName;
-import org.cicadahead.protocol.Announcement;
-import org.cicadahead.protocol.BeginClaim;
-import org.cicadahead.protocol.BeginStep;
 import org.cicadahead.protocol.CheckPrograms;
 import org.cicadahead.protocol.ClaimOutcome;
 import org.cicadahead.protocol.ClaimRef;
 import org.cicadahead.protocol.ClaimReply;
-import org.cicadahead.protocol.DaemonInfo;
 import org.cicadahead.protocol.Done;
-import org.cicadahead.protocol.EndpointLoad;
 import org.cicadahead.protocol.FinishStep;
 import org.cicadahead.protocol.GrantLine;
 import org.cicadahead.protocol.GrantReply;
@@ -52,9 +36,7 @@
 import org.cicadahead.protocol.Refused;
 import org.cicadahead.protocol.StartClaim;
 import org.cicadahead.protocol.StepOutcome;
-import org.cicadahead.protocol.StepRef;
 import org.cicadahead.protocol.StepReply;
-import org.cicadahead.protocol.Sync;
 import org.cicadahead.protocol.SyncReply;
 import org.cicadahead.wire.Codec;
 import org.cicadahead.wire.ControlClient;
@@ -66,10 +48,6 @@
 /** Guards against parts of control that work alone but not over the wire. */
 class ControlNodeTest {
     private static final String ORGANISATION = "{\"rate_per_second\":100,\"burst\":10}";
-    private static final OrganisationId ACME = OrganisationId.of("acme");
-    private static final ProgramKey PROGRAM = ProgramKey.of(ACME, ProgramId.of("p1"));
-    private static final RequestDigest DIGEST = RequestDigest.of("ab".repeat(32));
-    private static final DaemonId ENTRY = DaemonId.of("entry-1");
 
     @TempDir
     Path folder;
@@ -84,7 +62,7 @@
         client = ControlClient.to(
                 List.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), node.port())),
                 MessageCatalog.standard());
-        call(sync(Role.ENTRY, 0, null), SyncReply.class);
+        call(Samples.entrySync(0, 0, 0), SyncReply.class);
     }
 
     @AfterEach
@@ -98,14 +76,14 @@
         assertThat(send("PUT", "organisations/acme", "If-None-Match", "*", ORGANISATION)
                         .statusCode())
                 .isEqualTo(201);
-        SyncReply added = call(sync(Role.ENDPOINT, 0, announcement()), SyncReply.class);
+        SyncReply added = call(Samples.endpointSync(1), SyncReply.class);
         assertThat(added.endpoints()).isNull();
-        SyncReply reply = call(sync(Role.ENTRY, 0, null), SyncReply.class);
+        SyncReply reply = call(Samples.entrySync(0, 0, 0), SyncReply.class);
         assertThat(reply.leaseMillis()).isEqualTo(2_000);
         assertThat(reply.configuration().revision()).isEqualTo(1);
         assertThat(reply.configuration().changes().get(0).name()).isEqualTo("acme");
-        assertThat(reply.endpoints().announced()).containsExactly(announcement());
-        assertThat(call(sync(Role.ENTRY, 1, null), SyncReply.class).configuration())
+        assertThat(reply.endpoints().announced()).containsExactly(Samples.endpoint("e1", 1, EndpointState.READY));
+        assertThat(call(Samples.entrySync(1, 0, 0), SyncReply.class).configuration())
                 .isNull();
     }
 
@@ -113,9 +91,11 @@
     void grantsFollowTheOrganisation() throws Exception {
         send("PUT", "organisations/acme", "If-None-Match", "*", ORGANISATION);
         GrantRequest request = new GrantRequest(
-                ENTRY,
+                Samples.ENTRY,
                 1,
-                List.of(new GrantLine(ACME, 1, List.of()), new GrantLine(OrganisationId.of("unknown"), 1, List.of())));
+                List.of(
+                        new GrantLine(Samples.ACME, 1, List.of()),
+                        new GrantLine(OrganisationId.of("unknown"), 1, List.of())));
         GrantReply reply = call(request, GrantReply.class);
         assertThat(reply.validMillis()).isEqualTo(1_000);
         assertThat(reply.grants()).hasSize(2);
@@ -124,35 +104,36 @@
 
     @Test
     void stepsAreReplayedAndReadWithTheirHistory() throws Exception {
-        StepReply begun = call(step(1, "n1"), StepReply.class);
+        StepReply begun = call(Samples.begin(Samples.PROGRAM, 1, "n1"), StepReply.class);
         assertThat(begun.outcome()).isEqualTo(StepOutcome.GRANTED);
-        FinishStep finish = new FinishStep(new StepRef(PROGRAM, 1, begun.fence()), 7, bytes("q"), bytes("a"), false);
+        FinishStep finish = Samples.finish(Samples.PROGRAM, 1, begun.fence(), "a");
         assertThat(call(finish, Done.class).accepted()).isTrue();
-        StepReply replayed = call(step(1, "n2"), StepReply.class);
+        StepReply replayed = call(Samples.begin(Samples.PROGRAM, 1, "n2"), StepReply.class);
         assertThat(replayed.outcome()).isEqualTo(StepOutcome.REPLAYED);
         assertThat(new String(replayed.history().get(0).answer(), StandardCharsets.UTF_8))
                 .isEqualTo("a");
-        assertThat(call(step(2, "n3"), StepReply.class).history()).hasSize(1);
-        ProgramView view = call(new ReadProgram(PROGRAM, 1), ProgramView.class);
-        assertThat(view.spentTokens()).isEqualTo(7);
+        assertThat(call(Samples.begin(Samples.PROGRAM, 2, "n3"), StepReply.class)
+                        .history())
+                .hasSize(1);
+        ProgramView view = call(new ReadProgram(Samples.PROGRAM, 1), ProgramView.class);
+        assertThat(view.spentTokens()).isEqualTo(1);
         assertThat(view.history()).hasSize(1);
-        ProgramKey other = ProgramKey.of(ACME, ProgramId.of("other"));
+        ProgramKey other = Samples.program("other");
         assertThat(call(new ReadProgram(other, 1), Refused.class).reason()).isEqualTo(RefusalReason.PROGRAM_UNKNOWN);
-        assertThat(call(new CheckPrograms(List.of(PROGRAM, other)), ProgramsGone.class)
+        assertThat(call(new CheckPrograms(List.of(Samples.PROGRAM, other)), ProgramsGone.class)
                         .gone())
                 .containsExactly(other);
         JsonNode shown = Codec.json()
                 .readTree(send("GET", "programs/acme/p1", null, null, "").body());
-        assertThat(shown.path("spent_tokens").asLong()).isEqualTo(7);
+        assertThat(shown.path("spent_tokens").asLong()).isEqualTo(1);
     }
 
     @Test
     void claimsStartOnce() throws Exception {
-        ClaimKey key = ClaimKey.of(ACME, IdempotencyKey.of("k1"));
-        ClaimReply begun = call(new BeginClaim(key, DIGEST, RouteName.of("book"), ENTRY, "n"), ClaimReply.class);
+        ClaimReply begun = call(Samples.beginClaim("n"), ClaimReply.class);
         assertThat(begun.outcome()).isEqualTo(ClaimOutcome.GRANTED);
-        ClaimRef claim = new ClaimRef(key, begun.fence());
-        EndpointId endpoint = EndpointId.of("e1");
+        ClaimRef claim = new ClaimRef(Samples.CLAIM, begun.fence());
+        EndpointId endpoint = Samples.E1;
         assertThat(call(new StartClaim(claim, endpoint, 1, RunId.of("r1")), Done.class)
                         .accepted())
                 .isTrue();
@@ -204,7 +185,7 @@
 
     @Test
     void statusNeedsTheTokenAndShowsTheFleet() throws Exception {
-        call(sync(Role.ENDPOINT, 0, announcement()), SyncReply.class);
+        call(Samples.endpointSync(1), SyncReply.class);
         URI uri = URI.create("http://127.0.0.1:" + node.adminPort() + "/admin/v1/status");
         HttpRequest bad =
                 HttpRequest.newBuilder(uri).header("Authorization", "Bearer no").build();
@@ -216,37 +197,7 @@
                 Codec.json().readTree(send("GET", "status", null, null, "").body());
         assertThat(status.path("endpoints").path(0).path("draining").asBoolean())
                 .isTrue();
-        assertThat(call(sync(Role.ENDPOINT, 0, announcement()), SyncReply.class).draining())
-                .isTrue();
-    }
-
-    private static BeginStep step(int step, String nonce) {
-        return new BeginStep(
-                PROGRAM, null, step, DIGEST, RouteName.of("chat"), 100, 1_000, 10, 60_000, 0, ENTRY, nonce);
-    }
-
-    private static Announcement announcement() {
-        return new Announcement(
-                EndpointId.of("e1"),
-                1,
-                EndpointKind.ENGINE,
-                Set.of(PoolName.of("pool")),
-                Set.of("m"),
-                ZoneName.of("a"),
-                "127.0.0.1:9",
-                EndpointState.READY,
-                4);
-    }
-
-    private static Sync sync(Role role, long revision, Announcement announcement) {
-        DaemonInfo daemon =
-                new DaemonInfo(DaemonId.of("d-" + role.code()), Set.of(role), ZoneName.of("a"), 1, "127.0.0.1:3");
-        EndpointLoad load = announcement == null ? null : new EndpointLoad(0, 0, 0, 0, 0, 4);
-        return new Sync(daemon, revision, 0, 0, 0, 0, announcement, load);
-    }
-
-    private static byte[] bytes(String text) {
-        return text.getBytes(StandardCharsets.UTF_8);
+        assertThat(call(Samples.endpointSync(1), SyncReply.class).draining()).isTrue();
     }
 
     private <R extends Message> R call(Message request, Class<R> type) throws Exception {
--- a/control/src/test/java/org/cicadahead/control/ControlServiceTest.java
+++ b/control/src/test/java/org/cicadahead/control/ControlServiceTest.java
@@ -8,45 +8,25 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
-import org.cicadahead.model.ClaimKey;
-import org.cicadahead.model.DaemonId;
-import org.cicadahead.model.EndpointId;
-import org.cicadahead.model.EndpointKind;
-import org.cicadahead.model.EndpointState;
-import org.cicadahead.model.IdempotencyKey;
-import org.cicadahead.model.OrganisationId;
-import org.cicadahead.model.ProgramId;
 import org.cicadahead.model.ProgramKey;
-import org.cicadahead.model.RequestDigest;
 import org.cicadahead.model.RequestId;
 import org.cicadahead.model.ResourceKind;
-import org.cicadahead.model.Role;
-import org.cicadahead.model.RouteName;
 import org.cicadahead.model.RunId;
-import org.cicadahead.model.ZoneName;
-import org.cicadahead.protocol.Announcement;
-import org.cicadahead.protocol.BeginClaim;
-import org.cicadahead.protocol.BeginStep;
 import org.cicadahead.protocol.CheckPrograms;
 import org.cicadahead.protocol.ClaimOutcome;
 import org.cicadahead.protocol.ClaimRef;
 import org.cicadahead.protocol.ClaimReply;
-import org.cicadahead.protocol.DaemonInfo;
 import org.cicadahead.protocol.EditOutcome;
 import org.cicadahead.protocol.EditReply;
 import org.cicadahead.protocol.EndProgram;
 import org.cicadahead.protocol.Grant;
-import org.cicadahead.protocol.GrantLine;
 import org.cicadahead.protocol.GrantReply;
-import org.cicadahead.protocol.GrantRequest;
 import org.cicadahead.protocol.Message;
 import org.cicadahead.protocol.NotLeader;
 import org.cicadahead.protocol.ProgramsGone;
 import org.cicadahead.protocol.PutResource;
 import org.cicadahead.protocol.ReadProgram;
 import org.cicadahead.protocol.StartClaim;
-import org.cicadahead.protocol.Sync;
 import org.cicadahead.protocol.SyncReply;
 import org.cicadahead.replication.ReplicationException;
 import org.cicadahead.wire.Responder;
@@ -58,12 +38,6 @@
 
 /** Guards against a replica that answers without the leader lease, and against duties of the leader left undone. */
 class ControlServiceTest {
-    private static final OrganisationId ACME = OrganisationId.of("acme");
-    private static final ProgramKey PROGRAM = ProgramKey.of(ACME, ProgramId.of("p"));
-    private static final ClaimKey CLAIM = ClaimKey.of(ACME, IdempotencyKey.of("k"));
-    private static final RequestDigest DIGEST = RequestDigest.of("ab".repeat(32));
-    private static final DaemonId ENTRY = DaemonId.of("entry");
-    private static final EndpointId ENDPOINT = EndpointId.of("e1");
 
     @TempDir
     Path folder;
@@ -94,10 +68,10 @@
     void withoutTheLeaseNothingIsReadOrGranted() throws Exception {
         log.lease = false;
         for (Message request : List.of(
-                sync(Role.ENTRY, 0, 0, null),
-                grantRequest(),
-                new ReadProgram(PROGRAM, 1),
-                new CheckPrograms(List.of(PROGRAM)))) {
+                Samples.entrySync(0, 0, 0),
+                Samples.GRANT,
+                new ReadProgram(Samples.PROGRAM, 1),
+                new CheckPrograms(List.of(Samples.PROGRAM)))) {
             assertThat(ask(request)).isEqualTo(new NotLeader("10.0.0.1:7"));
         }
     }
@@ -105,9 +79,9 @@
     @Test
     void commandThatMayBeCommittedFailsAndOthersAreSentToTheLeader() throws Exception {
         log.failure = new ReplicationException(true, "lost", null);
-        assertThat(ask(new EndProgram(PROGRAM, "x"))).isEqualTo("lost");
+        assertThat(ask(new EndProgram(Samples.PROGRAM, "x"))).isEqualTo("lost");
         log.failure = new ReplicationException(false, "not the leader", null);
-        assertThat(ask(new EndProgram(PROGRAM, "x"))).isInstanceOf(NotLeader.class);
+        assertThat(ask(new EndProgram(Samples.PROGRAM, "x"))).isInstanceOf(NotLeader.class);
     }
 
     @Test
@@ -119,46 +93,46 @@
                 0,
                 RequestId.of("r"));
         assertThat(((EditReply) ask(put)).outcome()).isEqualTo(EditOutcome.INVALID);
-        assertThat(((SyncReply) ask(sync(Role.ENTRY, 0, 0, null))).configuration())
+        assertThat(((SyncReply) ask(Samples.entrySync(0, 0, 0))).configuration())
                 .isNull();
     }
 
     @Test
     void nextTermForgetsGrantsAndKeepsEndpointsOfReceivers() throws Exception {
         addOrganisation();
-        SyncReply before = (SyncReply) ask(sync(Role.ENDPOINT, 0, 0, announcement(1)));
+        SyncReply before = (SyncReply) ask(Samples.endpointSync(1));
         assertThat(before.endpoints()).isNull();
-        SyncReply seen = (SyncReply) ask(sync(Role.ENTRY, 0, 0, null));
+        SyncReply seen = (SyncReply) ask(Samples.entrySync(0, 0, 0));
         assertThat(seen.endpoints().announced()).hasSize(1);
-        ask(grantRequest());
+        ask(Samples.GRANT);
         now += 10_000;
         assertThat(grant().requests()).isEqualTo(1);
         log.term = 2;
         assertThat(grant().requests()).isEqualTo(0);
-        SyncReply next = (SyncReply)
-                ask(sync(Role.ENTRY, seen.endpoints().epoch(), seen.endpoints().version(), null));
+        SyncReply next = (SyncReply) ask(
+                Samples.entrySync(0, seen.endpoints().epoch(), seen.endpoints().version()));
         assertThat(next.endpoints().full()).isFalse();
         assertThat(next.endpoints().removed()).isEmpty();
     }
 
     @Test
     void idleProgramIsEndedByTheLeaderOnly() throws Exception {
-        ask(step());
+        ask(Samples.begin(Samples.PROGRAM, 1, "n"));
         log.wallMillis += 60_000;
         log.lease = false;
         housekeeping.run();
         log.lease = true;
         assertThat(gone()).isEmpty();
         housekeeping.run();
-        assertThat(gone()).containsExactly(PROGRAM);
+        assertThat(gone()).containsExactly(Samples.PROGRAM);
     }
 
     @Test
     void claimOfAnAbsentEndpointBecomesUnknownAfterFiveSeconds() throws Exception {
         startClaim();
-        ask(sync(Role.ENDPOINT, 0, 0, announcement(1)));
+        ask(Samples.endpointSync(1));
         pass(2_000);
-        ask(sync(Role.ENDPOINT, 0, 0, announcement(1)));
+        ask(Samples.endpointSync(1));
         pass(2_500);
         pass(4_500);
         assertThat(claim()).isEqualTo(ClaimOutcome.RUNNING);
@@ -180,10 +154,10 @@
     @Test
     void restartedEndpointOrphansTheClaimsOfItsOldGeneration() throws Exception {
         startClaim();
-        ask(sync(Role.ENDPOINT, 0, 0, announcement(1)));
+        ask(Samples.endpointSync(1));
         housekeeping.run();
         assertThat(claim()).isEqualTo(ClaimOutcome.RUNNING);
-        ask(sync(Role.ENDPOINT, 0, 0, announcement(2)));
+        ask(Samples.endpointSync(2));
         housekeeping.run();
         assertThat(claim()).isEqualTo(ClaimOutcome.UNKNOWN);
         assertThat(metrics.counter("control.refusals.outcome_unknown").getCount())
@@ -191,16 +165,16 @@
     }
 
     private void startClaim() throws WireException {
-        ClaimReply begun = (ClaimReply) ask(new BeginClaim(CLAIM, DIGEST, RouteName.of("book"), ENTRY, "n1"));
-        ask(new StartClaim(new ClaimRef(CLAIM, begun.fence()), ENDPOINT, 1, RunId.of("r")));
+        ClaimReply begun = (ClaimReply) ask(Samples.beginClaim("n1"));
+        ask(new StartClaim(new ClaimRef(Samples.CLAIM, begun.fence()), Samples.E1, 1, RunId.of("r")));
     }
 
     private ClaimOutcome claim() throws WireException {
-        return ((ClaimReply) ask(new BeginClaim(CLAIM, DIGEST, RouteName.of("book"), ENTRY, "n2"))).outcome();
+        return ((ClaimReply) ask(Samples.beginClaim("n2"))).outcome();
     }
 
     private List<ProgramKey> gone() throws WireException {
-        return ((ProgramsGone) ask(new CheckPrograms(List.of(PROGRAM)))).gone();
+        return ((ProgramsGone) ask(new CheckPrograms(List.of(Samples.PROGRAM)))).gone();
     }
 
     private void pass(long millis) {
@@ -224,7 +198,7 @@
     }
 
     private Grant grant() throws WireException {
-        return ((GrantReply) ask(grantRequest())).grants().get(0);
+        return ((GrantReply) ask(Samples.GRANT)).grants().get(0);
     }
 
     private Object ask(Message request) throws WireException {
@@ -256,31 +230,4 @@
         assertThat(answers).hasSize(1);
         return answers.get(0);
     }
-
-    private static GrantRequest grantRequest() {
-        return new GrantRequest(ENTRY, 1, List.of(new GrantLine(ACME, 1, List.of())));
-    }
-
-    private static BeginStep step() {
-        return new BeginStep(PROGRAM, null, 1, DIGEST, RouteName.of("chat"), 1, 100, 9, 60_000, 0, ENTRY, "n");
-    }
-
-    private static Announcement announcement(long generation) {
-        return new Announcement(
-                ENDPOINT,
-                generation,
-                EndpointKind.SERVICE,
-                Set.of(),
-                Set.of(),
-                ZoneName.of("a"),
-                "127.0.0.1:9",
-                EndpointState.READY,
-                4);
-    }
-
-    private static Sync sync(Role role, long epoch, long version, Announcement announcement) {
-        DaemonInfo daemon =
-                new DaemonInfo(DaemonId.of("d-" + role.code()), Set.of(role), ZoneName.of("a"), 1, "127.0.0.1:3");
-        return new Sync(daemon, 0, epoch, version, -1, 0, announcement, null);
-    }
 }
--- a/control/src/test/java/org/cicadahead/control/EndpointTableTest.java
+++ b/control/src/test/java/org/cicadahead/control/EndpointTableTest.java
@@ -6,31 +6,26 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.cicadahead.model.EndpointId;
-import org.cicadahead.model.EndpointKind;
 import org.cicadahead.model.EndpointState;
-import org.cicadahead.model.ZoneName;
 import org.cicadahead.protocol.Announcement;
 import org.cicadahead.protocol.EndpointsDelta;
 import org.junit.jupiter.api.Test;
 
 /** Guards against entries that lose live endpoints, or keep endpoints that are gone. */
 class EndpointTableTest {
-    private static final EndpointId E1 = EndpointId.of("e1");
-
     @Test
     void newLeaderOnlyAddsUntilItHasListened() {
         EndpointTable table = new EndpointTable(7, 10_000);
-        table.announce(10_100, endpoint("e1", 1, EndpointState.READY), null);
+        table.announce(10_100, Samples.endpoint("e1", 1, EndpointState.READY), null);
         EndpointsDelta early = table.since(6, 99).get();
         assertThat(early.full()).isFalse();
         assertThat(early.removed()).isEmpty();
         assertThat(early.announced()).hasSize(1);
         table.advance(11_000);
-        table.announce(11_900, endpoint("e1", 1, EndpointState.READY), null);
+        table.announce(11_900, Samples.endpoint("e1", 1, EndpointState.READY), null);
         table.advance(11_999);
         assertThat(table.since(7, early.version())).isEmpty();
         table.advance(12_000);
@@ -45,13 +40,13 @@
         EndpointTable table = settled();
         long version = table.since(0, 0).get().version();
         advance(table, 10_000, 12_000);
-        assertThat(table.generation(E1)).hasValue(1L);
+        assertThat(table.generation(Samples.E1)).hasValue(1L);
         advance(table, 12_000, 12_001);
-        assertThat(table.since(1, version).get().removed()).containsExactly(E1);
-        assertThat(table.absentMillis(17_000, E1)).isEqualTo(4_999);
+        assertThat(table.since(1, version).get().removed()).containsExactly(Samples.E1);
+        assertThat(table.absentMillis(17_000, Samples.E1)).isEqualTo(4_999);
         assertThat(table.absentMillis(17_000, EndpointId.of("never"))).isEqualTo(15_000);
-        table.announce(17_000, endpoint("e1", 2, EndpointState.READY), null);
-        assertThat(table.absentMillis(17_000, E1)).isEqualTo(0);
+        table.announce(17_000, Samples.endpoint("e1", 2, EndpointState.READY), null);
+        assertThat(table.absentMillis(17_000, Samples.E1)).isEqualTo(0);
         EndpointsDelta back = table.since(1, version).get();
         assertThat(back.removed()).isEmpty();
         assertThat(back.announced()).hasSize(1);
@@ -60,15 +55,15 @@
     @Test
     void olderGenerationIsIgnoredAndDrainEndsWithTheNextOne() {
         EndpointTable table = settled();
-        table.announce(10_100, endpoint("e1", 5, EndpointState.READY), null);
-        assertThat(table.announce(10_100, endpoint("e1", 4, EndpointState.LEAVING), null))
+        table.announce(10_100, Samples.endpoint("e1", 5, EndpointState.READY), null);
+        assertThat(table.announce(10_100, Samples.endpoint("e1", 4, EndpointState.LEAVING), null))
                 .isFalse();
         assertThat(table.list().get(0).announcement().state()).isEqualTo(EndpointState.READY);
-        assertThat(table.drain(E1)).isTrue();
+        assertThat(table.drain(Samples.E1)).isTrue();
         assertThat(table.drain(EndpointId.of("never"))).isFalse();
-        assertThat(table.announce(10_200, endpoint("e1", 5, EndpointState.READY), null))
+        assertThat(table.announce(10_200, Samples.endpoint("e1", 5, EndpointState.READY), null))
                 .isTrue();
-        assertThat(table.announce(10_300, endpoint("e1", 6, EndpointState.READY), null))
+        assertThat(table.announce(10_300, Samples.endpoint("e1", 6, EndpointState.READY), null))
                 .isFalse();
     }
 
@@ -76,9 +71,9 @@
     void frozenLeaderDoesNotRemoveEndpointsItCouldNotHear() {
         EndpointTable table = settled();
         table.advance(30_000);
-        assertThat(table.generation(E1)).hasValue(1L);
+        assertThat(table.generation(Samples.E1)).hasValue(1L);
         advance(table, 30_000, 32_001);
-        assertThat(table.generation(E1)).isEmpty();
+        assertThat(table.generation(Samples.E1)).isEmpty();
     }
 
     /** A receiver that asks at random times, over leader changes, has the table of the leader once it is complete. */
@@ -96,7 +91,7 @@
                 table = new EndpointTable(2 + i, now);
             }
             EndpointState state = random.nextInt(9) == 0 ? EndpointState.LEAVING : EndpointState.READY;
-            table.announce(now, endpoint("e" + random.nextInt(12), 1, state), null);
+            table.announce(now, Samples.endpoint("e" + random.nextInt(12), 1, state), null);
             table.advance(now);
             if (random.nextInt(3) == 0 || i == 599) {
                 Optional<EndpointsDelta> delta = table.since(epoch, version);
@@ -126,7 +121,7 @@
     private static EndpointTable settled() {
         EndpointTable table = new EndpointTable(1, 0);
         advance(table, 0, 9_500);
-        table.announce(10_000, endpoint("e1", 1, EndpointState.READY), null);
+        table.announce(10_000, Samples.endpoint("e1", 1, EndpointState.READY), null);
         return table;
     }
 
@@ -136,17 +131,4 @@
         }
         table.advance(to);
     }
-
-    private static Announcement endpoint(String id, long generation, EndpointState state) {
-        return new Announcement(
-                EndpointId.of(id),
-                generation,
-                EndpointKind.ENGINE,
-                Set.of(),
-                Set.of(),
-                ZoneName.of("a"),
-                "127.0.0.1:9",
-                state,
-                4);
-    }
 }
--- a/control/src/test/java/org/cicadahead/state/ClaimTableTest.java
+++ b/control/src/test/java/org/cicadahead/state/ClaimTableTest.java
@@ -66,6 +66,8 @@
     void pendingClaimOfALostEntryIsTakenOver() {
         long fence = begin(1, "n1").fence();
         tables.now += ClaimTable.PENDING_LEASE_MILLIS - 1;
+        assertThat(begin(1, "n1").fence()).isEqualTo(fence);
+        tables.now += ClaimTable.PENDING_LEASE_MILLIS - 1;
         assertThat(begin(1, "n2").outcome()).isEqualTo(ClaimOutcome.RUNNING);
         tables.now++;
         long next = begin(1, "n2").fence();
