Let organisations catch up on service that they did not use, and test the pure packages

Ruled out: strict priority for light organisations, which can starve a busy one.

Change: start tags may lag behind the virtual time by two fillings of the engine.

--- a/endpoint/src/main/java/org/cicadahead/queue/Lane.java
+++ b/endpoint/src/main/java/org/cicadahead/queue/Lane.java
@@ -23,8 +23,9 @@
         }
     }
 
-    double startTag(double virtualTime) {
-        return Math.max(finishTag, virtualTime);
+    /** Returns when the next run is due; service that was not asked for is kept up to a credit in tokens. */
+    double startTag(double virtualTime, double creditTokens) {
+        return Math.max(finishTag, virtualTime - creditTokens / weight);
     }
 
     /** Returns how much the organisation holds of the queue, relative to its weight. */
--- a/endpoint/src/main/java/org/cicadahead/queue/RunQueue.java
+++ b/endpoint/src/main/java/org/cicadahead/queue/RunQueue.java
@@ -19,6 +19,8 @@
  */
 public final class RunQueue {
     private static final double MEAN_WEIGHT = 0.05;
+    /** Unused service that an organisation keeps, in fillings of the engine. */
+    private static final double CREDIT_FILLINGS = 2;
 
     private final QueueLimits limits;
     private final Map<OrganisationId, Lane> lanes = new HashMap<>();
@@ -204,7 +206,7 @@
         double least = Double.POSITIVE_INFINITY;
         for (Lane lane : lanes.values()) {
             if (!lane.waiting.isEmpty()) {
-                least = Math.min(least, lane.startTag(virtualTime));
+                least = Math.min(least, startTag(lane));
             }
         }
         QueuedRun best = null;
@@ -214,7 +216,7 @@
                 continue;
             }
             QueuedRun candidate = lane.best(nowMillis);
-            double tag = lane.startTag(virtualTime);
+            double tag = startTag(lane);
             double ahead = (candidate.policy().fairnessSlack() - 1) * meanTokens / candidate.weight();
             if (tag <= least + ahead && (best == null || isBefore(candidate, tag, best, bestTag, nowMillis))) {
                 best = candidate;
@@ -224,6 +226,18 @@
         return best;
     }
 
+    /**
+     * An organisation that used less than its share may catch up. Without this credit, one
+     * that is always busy gets all that the others leave, and their bursts wait longer than without it.
+     */
+    private double startTag(Lane lane) {
+        return lane.startTag(virtualTime, creditTokens());
+    }
+
+    private double creditTokens() {
+        return CREDIT_FILLINGS * meanTokens * limits.maxRunning();
+    }
+
     private static boolean isBefore(QueuedRun run, double tag, QueuedRun other, double otherTag, long nowMillis) {
         int byPriority = Double.compare(run.priority(nowMillis), other.priority(nowMillis));
         if (run.policy().fairnessSlack() <= 1 || other.policy().fairnessSlack() <= 1) {
@@ -238,11 +252,11 @@
         double least = Double.POSITIVE_INFINITY;
         for (Lane other : lanes.values()) {
             if (!other.waiting.isEmpty()) {
-                least = Math.min(least, other.startTag(virtualTime));
+                least = Math.min(least, startTag(other));
             }
         }
-        double tag = lane.startTag(virtualTime);
-        virtualTime = least;
+        double tag = startTag(lane);
+        virtualTime = Math.max(virtualTime, least);
         remove(run);
         lane.finishTag = tag + run.tokens() / run.weight();
         lane.running++;
@@ -295,7 +309,8 @@
             lanes.clear();
             virtualTime = 0;
         } else {
-            lanes.values().removeIf(lane -> lane.idle() && lane.finishTag <= virtualTime);
+            lanes.values()
+                    .removeIf(lane -> lane.idle() && lane.finishTag <= virtualTime - creditTokens() / lane.weight);
         }
     }
 }
--- /dev/null
+++ b/endpoint/src/test/java/org/cicadahead/crash/CrashAttributionTest.java
@@ -0,0 +1,82 @@
+package org.cicadahead.crash;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import org.cicadahead.model.RequestDigest;
+import org.cicadahead.model.RunId;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that are blamed for a crash in which they had no part. */
+class CrashAttributionTest {
+    private final CrashAttribution crashes = new CrashAttribution();
+
+    @BeforeEach
+    void firstInstance() {
+        crashes.instanceSeen("i1", 0);
+    }
+
+    @Test
+    void onlyWhatRanAtTheCrashIsReported() {
+        start("done", 1);
+        crashes.completed(RunId.of("done"));
+        start("cancelled", 2);
+        crashes.withdrawn(RunId.of("cancelled"));
+        start("broken", 3);
+        start("silent", 4);
+        crashes.broke(RunId.of("broken"));
+        assertThat(crashes.isUncertain()).isTrue();
+        CrashAttribution.Crash crash = crashes.instanceSeen("i2", 10).orElseThrow();
+        assertThat(crash.instance()).isEqualTo("i1");
+        assertThat(crash.digests()).containsExactly(digest(3), digest(4));
+        assertThat(crashes.isUncertain()).isFalse();
+    }
+
+    @Test
+    void brokenConnectionWithTheSameInstanceIsNoCrash() {
+        start("r1", 1);
+        crashes.broke(RunId.of("r1"));
+        assertThat(crashes.instanceSeen("i1", 10)).isEmpty();
+        assertThat(crashes.isUncertain()).isFalse();
+        assertThat(crashes.isSuspect(digest(1), 10)).isFalse();
+        assertThat(crashes.instanceSeen("i2", 20)).isEmpty();
+    }
+
+    @Test
+    void crashOfAnEngineThatStaysDownIsReportedOnce() {
+        start("r1", 1);
+        assertThat(crashes.unreachable(5)).isEmpty();
+        crashes.broke(RunId.of("r1"));
+        assertThat(crashes.unreachable(10)).isPresent();
+        assertThat(crashes.unreachable(20)).isEmpty();
+        start("r2", 2);
+        assertThat(crashes.instanceSeen("i2", 30)).isEmpty();
+        assertThat(crashes.isSuspect(digest(2), 30)).isFalse();
+    }
+
+    @Test
+    void restartWithoutRunsReportsNothing() {
+        assertThat(crashes.instanceSeen("i2", 10)).isEmpty();
+    }
+
+    @Test
+    void suspectIsClearedByCompletingOnceAndLapses() {
+        start("r1", 1);
+        crashes.broke(RunId.of("r1"));
+        crashes.instanceSeen("i2", 10);
+        assertThat(crashes.isSuspect(digest(1), 20)).isTrue();
+        assertThat(crashes.isSuspect(digest(1), 700_000)).isFalse();
+        start("r2", 1);
+        assertThat(crashes.completed(RunId.of("r2"))).isEqualTo(Optional.of(digest(1)));
+        assertThat(crashes.isSuspect(digest(1), 20)).isFalse();
+    }
+
+    private void start(String run, int digest) {
+        crashes.started(RunId.of(run), digest(digest));
+    }
+
+    private static RequestDigest digest(int number) {
+        return RequestDigest.of(String.format("%064x", number));
+    }
+}
--- /dev/null
+++ b/endpoint/src/test/java/org/cicadahead/endpoint/ClaimFaultTest.java
@@ -0,0 +1,299 @@
+package org.cicadahead.endpoint;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.codahale.metrics.MetricRegistry;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.cicadahead.crash.CrashAttribution;
+import org.cicadahead.endpoint.ModelControl.Fate;
+import org.cicadahead.endpoint.ModelControl.State;
+import org.cicadahead.model.ClaimKey;
+import org.cicadahead.model.DaemonId;
+import org.cicadahead.model.EndpointId;
+import org.cicadahead.model.EndpointKind;
+import org.cicadahead.model.IdempotencyKey;
+import org.cicadahead.model.OrganisationId;
+import org.cicadahead.model.QueuePolicy;
+import org.cicadahead.model.RefusalReason;
+import org.cicadahead.model.RequestDigest;
+import org.cicadahead.model.Role;
+import org.cicadahead.model.RouteName;
+import org.cicadahead.model.RunId;
+import org.cicadahead.model.ZoneName;
+import org.cicadahead.protocol.ClaimRef;
+import org.cicadahead.protocol.DaemonInfo;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.protocol.RunEnd;
+import org.cicadahead.protocol.RunRequest;
+import org.cicadahead.protocol.Usage;
+import org.cicadahead.wire.Responder;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a claimed request that runs twice, runs without a started claim, or is called not run although it ran,
+ * when any answer of control is lost, late or refused, the service fails, and the entry cancels at any stage.
+ */
+class ClaimFaultTest {
+    private static final ClaimRef CLAIM =
+            new ClaimRef(ClaimKey.of(OrganisationId.of("acme"), IdempotencyKey.of("k1")), 1);
+
+    /** What the service does with the call. */
+    enum Service {
+        ANSWERS(null),
+        BREAKS(Backend.Failure.BROKEN),
+        HANGS(Backend.Failure.TIMEOUT),
+        UNREACHABLE(Backend.Failure.NOT_SENT);
+
+        private final Backend.Failure failure;
+
+        Service(Backend.Failure failure) {
+            this.failure = failure;
+        }
+
+        void end(Backend.Sink sink) {
+            if (failure == null) {
+                sink.data(new byte[] {1}, 0);
+                sink.ended(200, "application/json", null);
+            } else {
+                sink.failed(failure, "by the test");
+            }
+        }
+
+        boolean mayHaveRun() {
+            return failure != Backend.Failure.NOT_SENT;
+        }
+    }
+
+    /** When the entry cancels. */
+    enum Cancel {
+        NEVER,
+        STARTING,
+        RUNNING,
+        FINISHING
+    }
+
+    private record Case(Fate start, Service service, Fate record, Cancel cancel) {}
+
+    @Test
+    void everyCombinationKeepsTheClaimTrue() {
+        List<Case> cases = new ArrayList<>();
+        for (Fate start : Fate.values()) {
+            for (Service service : Service.values()) {
+                for (Fate record : List.of(Fate.ANSWERED, Fate.REQUEST_LOST, Fate.ANSWER_LOST, Fate.REQUEST_LATE)) {
+                    Stream.of(Cancel.values()).forEach(cancel -> cases.add(new Case(start, service, record, cancel)));
+                }
+            }
+        }
+        cases.forEach(this::check);
+        assertWithMessage("cases").that(cases).hasSize(6 * 4 * 4 * 4);
+    }
+
+    private void check(Case test) {
+        Bench bench = new Bench();
+        bench.control.next(test.start());
+        bench.control.next(test.record());
+        bench.flow.accept(bench.request(), bench);
+        bench.cancelIf(test.cancel() == Cancel.STARTING);
+        bench.control.deliverAll();
+        if (bench.sink != null) {
+            bench.cancelIf(test.cancel() == Cancel.RUNNING);
+            test.service().end(bench.sink);
+            bench.cancelIf(test.cancel() == Cancel.FINISHING);
+            bench.control.deliverAll();
+        }
+        bench.control.deliverLate();
+        State state = bench.control.state;
+        String text = test.toString();
+        assertWithMessage("%s: calls of the service", text).that(bench.calls).isAtMost(1);
+        assertWithMessage("%s: called only while started", text)
+                .that(bench.calledUnstarted)
+                .isFalse();
+        assertWithMessage("%s: an end", text).that(bench.ends).hasSize(1);
+        assertWithMessage("%s: open runs", text).that(bench.flow.open()).isEqualTo(0);
+        assertWithMessage("%s: open records", text)
+                .that(bench.claims.unacknowledged())
+                .isEqualTo(0);
+        boolean mayHaveRun = bench.calls > 0 && test.service().mayHaveRun();
+        assertWithMessage("%s: not run is true", text)
+                .that(bench.ends.get(0).notRun())
+                .isEqualTo(!mayHaveRun);
+        if (mayHaveRun) {
+            State expected = test.service() == Service.ANSWERS ? State.DONE : State.UNKNOWN;
+            assertWithMessage("%s: state", text).that(state).isEqualTo(expected);
+        } else {
+            // A start that was never sent may leave the claim pending, which the entry releases.
+            boolean pendingAllowed = test.start() == Fate.NOT_SENT;
+            assertWithMessage("%s: state", text)
+                    .that(state == State.RELEASED || pendingAllowed && state == State.PENDING)
+                    .isTrue();
+        }
+    }
+
+    /** A run flow with one request, without threads or real time. */
+    private static final class Bench implements RunFlow.Wiring, Responder, Backend {
+        private final ModelControl control = new ModelControl();
+        private final ScheduledExecutorService timer = new InlineTimer();
+        private final ClaimFlow claims = new ClaimFlow(control, EndpointId.of("e1"), 1, timer);
+        private final List<RunEnd> ends = new ArrayList<>();
+        private final RunFlow flow = new RunFlow(config(), new MetricRegistry(), new Poison(), this);
+        private Runnable cancelAction;
+        private Backend.Sink sink;
+        private int calls;
+        private boolean calledUnstarted;
+
+        void cancelIf(boolean cancels) {
+            if (cancels) {
+                cancelAction.run();
+            }
+        }
+
+        RunRequest request() {
+            OrganisationId organisation = OrganisationId.of("acme");
+            return new RunRequest(
+                    RunId.of("r1"),
+                    organisation,
+                    1,
+                    null,
+                    null,
+                    0,
+                    CLAIM,
+                    RouteName.of("route"),
+                    QueuePolicy.FAIR,
+                    RequestDigest.of("0".repeat(64)),
+                    false,
+                    "POST",
+                    "/call",
+                    Map.of(),
+                    new byte[] {1},
+                    false,
+                    0,
+                    0,
+                    60_000);
+        }
+
+        private static EndpointConfig config() {
+            return new EndpointConfig(
+                    new DaemonInfo(DaemonId.of("d1"), Set.of(Role.ENDPOINT), ZoneName.of("z1"), 1, "127.0.0.1:1"),
+                    EndpointId.of("e1"),
+                    EndpointKind.SERVICE,
+                    Set.of(),
+                    Set.of(),
+                    URI.create("http://127.0.0.1:1"),
+                    List.of(),
+                    new InetSocketAddress(0),
+                    4,
+                    1_000,
+                    true,
+                    1);
+        }
+
+        @Override
+        public Runnable run(RunRequest request, byte[] body, long leftMillis, Backend.Sink target) {
+            calls++;
+            calledUnstarted |= control.state != State.STARTED || !request.run().equals(control.startedBy);
+            sink = target;
+            return () -> {};
+        }
+
+        @Override
+        public void reply(Message reply) {
+            ends.add((RunEnd) reply);
+        }
+
+        @Override
+        public boolean part(Message part) {
+            return true;
+        }
+
+        @Override
+        public void fail(String text) {
+            throw new AssertionError(text);
+        }
+
+        @Override
+        public void onCancel(Runnable action) {
+            cancelAction = action;
+        }
+
+        @Override
+        public long queuedBytes() {
+            return 0;
+        }
+
+        @Override
+        public boolean isAvailable() {
+            return true;
+        }
+
+        @Override
+        public long cachedTokens() {
+            return 0;
+        }
+
+        @Override
+        public void tick() {}
+
+        @Override
+        public void probe() {}
+
+        @Override
+        public Optional<RefusalReason> refusal(RunRequest request) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Backend backend() {
+            return this;
+        }
+
+        @Override
+        public ClaimFlow claims() {
+            return claims;
+        }
+
+        @Override
+        public ScheduledExecutorService timer() {
+            return timer;
+        }
+
+        @Override
+        public void runStarted(RunTask task) {}
+
+        @Override
+        public void runEnded(RunTask task, Usage usage) {}
+
+        @Override
+        public void crashed(CrashAttribution.Crash crash) {}
+
+        @Override
+        public void cleared(RequestDigest digest) {}
+    }
+
+    /** Runs retries at once, and drops what waits for a deadline. */
+    private static final class InlineTimer extends ScheduledThreadPoolExecutor {
+        private static final long DEADLINE_MILLIS = 10_000;
+
+        InlineTimer() {
+            super(0);
+        }
+
+        @Override
+        public ScheduledFuture<?> schedule(Runnable action, long delay, TimeUnit unit) {
+            if (unit.toMillis(delay) < DEADLINE_MILLIS) {
+                action.run();
+            }
+            return null;
+        }
+    }
+}
