Check the log files against damage

Cause: recovery was covered by restarts only. Ruled out: refusing any valid record behind a damaged one, as a write that was torn before its sync may leave a later page on the disk; only a record that began a later write proves a sync.

damage is refused or leaves a prefix. Conclusion: damage to the last write only is taken for a torn tail.

--- /dev/null
+++ b/raft/src/test/java/org/cicadahead/storage/LogStoreTest.java
@@ -0,0 +1,335 @@
+package org.cicadahead.storage;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.cicadahead.raft.EntryKind;
+import org.cicadahead.raft.HardState;
+import org.cicadahead.raft.LogEntry;
+import org.cicadahead.raft.Member;
+import org.cicadahead.raft.Membership;
+import org.cicadahead.raft.RaftSnapshot;
+import org.cicadahead.raft.ReplicaId;
+import org.cicadahead.raft.SnapshotHead;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against damage to files that is taken for good data, and against the loss of synced entries. */
+class LogStoreTest {
+    private static final long LARGE = 1 << 20;
+    private static final ReplicaId OTHER = ReplicaId.of("f".repeat(32));
+    private static final Membership MEMBERS = Membership.NONE.with(new Member(OTHER, "127.0.0.1:1", true));
+
+    @TempDir
+    Path root;
+
+    @Test
+    void entriesAndHardStateSurviveRestarts() throws Exception {
+        Path folder = root.resolve("a");
+        ReplicaId id;
+        try (ReplicaFolder files = ReplicaFolder.open(folder, 300)) {
+            id = files.id();
+            write(files, entries(1, 20, 1));
+            files.log().truncateFrom(8);
+            write(files, entries(8, 12, 2));
+            files.log().save(new HardState(2, OTHER));
+        }
+        try (ReplicaFolder files = ReplicaFolder.open(folder, 300)) {
+            assertThat(files.id()).isEqualTo(id);
+            assertThat(files.log().hardState()).isEqualTo(new HardState(2, OTHER));
+            List<LogEntry> expected = new ArrayList<>(entries(1, 7, 1));
+            expected.addAll(entries(8, 12, 2));
+            assertThat(files.log().takeRecovered()).isEqualTo(expected);
+        }
+    }
+
+    /** The same random operations on the files and on a list in memory give the same log, over restarts. */
+    @Test
+    void agreesWithNaiveLog() throws Exception {
+        for (long seed = 0; seed < 60; seed++) {
+            Random random = new Random(seed);
+            Path folder = root.resolve("n" + seed);
+            List<LogEntry> naive = new ArrayList<>();
+            long dropped = 0;
+            ReplicaFolder files = ReplicaFolder.open(folder, 400);
+            for (int i = 0; i < 60; i++) {
+                long last = dropped + naive.size();
+                switch (random.nextInt(6)) {
+                    case 0 -> {
+                        long from = dropped + 1 + random.nextInt(naive.size() + 1);
+                        files.log().truncateFrom(from);
+                        naive.subList((int) (from - dropped - 1), naive.size()).clear();
+                    }
+                    case 1 -> {
+                        files.close();
+                        files = ReplicaFolder.open(folder, 400);
+                        assertThat(files.log().takeRecovered()).isEqualTo(naive);
+                    }
+                    case 2 -> {
+                        long index = dropped + random.nextInt(naive.size() + 1);
+                        long term = index == dropped
+                                ? 0
+                                : naive.get((int) (index - dropped - 1)).term();
+                        if (index > dropped) {
+                            files.snapshots().write(new SnapshotHead(index, term, 0, MEMBERS), out -> out.write(1));
+                            files.log().compact(index);
+                            naive.subList(0, (int) (index - dropped)).clear();
+                            dropped = index;
+                        }
+                    }
+                    default -> {
+                        List<LogEntry> more = entries(last + 1, last + 1 + random.nextInt(4), i + 1);
+                        write(files, more);
+                        naive.addAll(more);
+                    }
+                }
+            }
+            files.close();
+        }
+    }
+
+    @Test
+    void logCutAtAnyByteIsPrefix() throws Exception {
+        byte[] whole = Files.readAllBytes(segment(filled("cut")));
+        for (int length = 0; length < whole.length; length++) {
+            Path folder = copy("cut", "cut" + length);
+            Files.write(segment(folder), java.util.Arrays.copyOf(whole, length));
+            checkPrefixOrRefused(folder, "cut at " + length);
+        }
+    }
+
+    @Test
+    void flippedByteIsNeverTakenForData() throws Exception {
+        byte[] whole = Files.readAllBytes(segment(filled("flip")));
+        int refused = 0;
+        for (int i = 0; i < whole.length; i++) {
+            Path folder = copy("flip", "flip" + i);
+            byte[] damaged = whole.clone();
+            damaged[i] ^= (byte) (1 << (i % 8));
+            Files.write(segment(folder), damaged);
+            int kept = checkPrefixOrRefused(folder, "flip at " + i);
+            refused += kept < 0 ? 1 : 0;
+            // Each entry was synced on its own, so only damage to the last one may pass for a torn write.
+            assertWithMessage("flip at " + i).that(kept).isAnyOf(-1, 9);
+        }
+        assertThat(refused).isGreaterThan(whole.length * 8 / 10);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 7, 512, 5_000})
+    void zeroTailIsCut(int zeros) throws Exception {
+        Path folder = filled("zero");
+        byte[] whole = Files.readAllBytes(segment(folder));
+        Files.write(segment(folder), java.util.Arrays.copyOf(whole, whole.length + zeros));
+        assertThat(checkPrefixOrRefused(folder, "zero tail")).isEqualTo(10);
+        try (ReplicaFolder files = ReplicaFolder.open(folder, LARGE)) {
+            write(files, entries(11, 11, 1));
+        }
+        try (ReplicaFolder files = ReplicaFolder.open(folder, LARGE)) {
+            assertThat(files.log().takeRecovered()).isEqualTo(entries(1, 11, 1));
+        }
+    }
+
+    @Test
+    void tornBatchIsCutWhole() throws Exception {
+        Path folder = filled("torn");
+        try (ReplicaFolder files = ReplicaFolder.open(folder, LARGE)) {
+            files.log().append(entries(11, 13, 1));
+        }
+        byte[] bytes = Files.readAllBytes(segment(folder));
+        // The first page of a write that was not synced is lost, a later one is on the disk.
+        int first = offsetOf(11);
+        for (int i = first; i < first + 20; i++) {
+            bytes[i] = 0;
+        }
+        Files.write(segment(folder), bytes);
+        assertThat(checkPrefixOrRefused(folder, "torn batch")).isEqualTo(10);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"hard-state", "replica-id"})
+    void damagedOrMissingSmallFileIsRefused(String name) throws Exception {
+        Path folder = filled("small");
+        byte[] whole = Files.readAllBytes(folder.resolve(name));
+        for (int i = 0; i < whole.length; i++) {
+            byte[] damaged = whole.clone();
+            damaged[i] ^= 1;
+            Files.write(folder.resolve(name), damaged);
+            assertRefused(folder);
+            Files.write(folder.resolve(name), java.util.Arrays.copyOf(whole, i));
+            assertRefused(folder);
+        }
+        Files.delete(folder.resolve(name));
+        assertRefused(folder);
+    }
+
+    @Test
+    void missingSegmentIsRefused() throws Exception {
+        Path folder = root.resolve("segments");
+        try (ReplicaFolder files = ReplicaFolder.open(folder, 300)) {
+            for (LogEntry entry : entries(1, 20, 1)) {
+                write(files, List.of(entry));
+            }
+        }
+        List<Path> segments = segments(folder);
+        assertThat(segments.size()).isAtLeast(4);
+        for (Path segment : segments) {
+            Path damaged = copy("segments", "without-" + segment.getFileName());
+            Files.delete(damaged.resolve(segment.getFileName()));
+            assertRefused(damaged);
+        }
+    }
+
+    @Test
+    void damagedSnapshotIsRefused() throws Exception {
+        Path folder = filled("snap");
+        try (ReplicaFolder files = ReplicaFolder.open(folder, LARGE)) {
+            files.snapshots().write(new SnapshotHead(5, 1, 0, MEMBERS), out -> out.write(new byte[100]));
+        }
+        Path file = folder.resolve(String.format("snapshot-%020d.snap", 5));
+        byte[] whole = Files.readAllBytes(file);
+        for (int i = 0; i < whole.length; i++) {
+            byte[] damaged = whole.clone();
+            damaged[i] ^= 4;
+            Files.write(file, damaged);
+            assertRefused(folder);
+            Files.write(file, java.util.Arrays.copyOf(whole, i));
+            assertRefused(folder);
+        }
+        Files.write(file, whole);
+        try (ReplicaFolder files = ReplicaFolder.open(folder, LARGE)) {
+            assertThat(files.snapshots().latest()).isEqualTo(new SnapshotHead(5, 1, 0, MEMBERS));
+            assertThat(files.log().takeRecovered()).isEqualTo(entries(6, 10, 1));
+        }
+    }
+
+    @Test
+    void receivedSnapshotReplacesLogThatConflicts() throws Exception {
+        SnapshotHead head = new SnapshotHead(8, 3, 0, MEMBERS);
+        try (ReplicaFolder from = ReplicaFolder.open(root.resolve("from"), LARGE);
+                ReplicaFolder to = ReplicaFolder.open(filled("to"), LARGE)) {
+            from.snapshots().write(head, out -> out.write(new byte[2_000]));
+            assertThat(to.snapshots().receive(chunk(from, head, 500))).isEqualTo(0);
+            long offset = 0;
+            while (offset >= 0) {
+                offset = to.snapshots().receive(chunk(from, head, offset));
+            }
+            // The crash comes before the log is reset; recovery finishes the installation.
+        }
+        try (ReplicaFolder to = ReplicaFolder.open(root.resolve("to"), LARGE)) {
+            assertThat(to.snapshots().latest()).isEqualTo(head);
+            assertThat(to.log().takeRecovered()).isEmpty();
+            write(to, entries(9, 9, 3));
+        }
+        try (ReplicaFolder to = ReplicaFolder.open(root.resolve("to"), LARGE)) {
+            assertThat(to.log().takeRecovered()).isEqualTo(entries(9, 9, 3));
+        }
+    }
+
+    @Test
+    void damagedTransferStartsAgain() throws Exception {
+        SnapshotHead head = new SnapshotHead(8, 3, 0, MEMBERS);
+        try (ReplicaFolder from = ReplicaFolder.open(root.resolve("from"), LARGE);
+                ReplicaFolder to = ReplicaFolder.open(root.resolve("to"), LARGE)) {
+            from.snapshots().write(head, out -> out.write(new byte[100]));
+            RaftSnapshot whole = chunk(from, head, 0);
+            whole.data()[whole.data().length / 2] ^= 1;
+            assertThat(to.snapshots().receive(whole)).isEqualTo(0);
+            assertThat(to.snapshots().latest()).isEqualTo(SnapshotHead.NONE);
+        }
+    }
+
+    @Test
+    void secondProcessIsRefused() throws Exception {
+        try (ReplicaFolder files = ReplicaFolder.open(root.resolve("lock"), LARGE)) {
+            assertThat(files.id()).isNotNull();
+            assertThrows(StorageException.class, () -> ReplicaFolder.open(root.resolve("lock"), LARGE));
+        }
+    }
+
+    private static List<LogEntry> entries(long from, long to, long term) {
+        List<LogEntry> entries = new ArrayList<>();
+        for (long i = from; i <= to; i++) {
+            entries.add(new LogEntry(i, term, EntryKind.COMMAND, i, "c", new byte[] {(byte) i, 1, 2, 3}, null));
+        }
+        return entries;
+    }
+
+    private static void write(ReplicaFolder files, List<LogEntry> entries) throws StorageException {
+        files.log().append(entries);
+        files.log().sync();
+    }
+
+    private static RaftSnapshot chunk(ReplicaFolder from, SnapshotHead head, long offset) throws StorageException {
+        SnapshotStore.Chunk chunk = from.snapshots().chunk(head, offset, 700);
+        return new RaftSnapshot(OTHER, OTHER, 3, head, offset, chunk.data(), chunk.last(), 0);
+    }
+
+    private static int offsetOf(long index) throws StorageException {
+        int offset = Segment.HEADER_BYTES;
+        for (LogEntry entry : entries(1, index - 1, 1)) {
+            offset += Segment.encode(entry, true).length;
+        }
+        return offset;
+    }
+
+    /** Returns a folder with ten entries, each synced on its own. */
+    private Path filled(String name) throws StorageException {
+        Path folder = root.resolve(name);
+        try (ReplicaFolder files = ReplicaFolder.open(folder, LARGE)) {
+            for (LogEntry entry : entries(1, 10, 1)) {
+                write(files, List.of(entry));
+            }
+            files.log().save(new HardState(1, OTHER));
+        }
+        return folder;
+    }
+
+    private Path copy(String from, String to) throws IOException {
+        Path target = Files.createDirectories(root.resolve(to));
+        try (Stream<Path> files = Files.list(root.resolve(from))) {
+            for (Path file : files.toList()) {
+                Files.copy(file, target.resolve(file.getFileName()));
+            }
+        }
+        return target;
+    }
+
+    private static List<Path> segments(Path folder) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.filter(f -> Segment.baseOf(f) >= 0).sorted().toList();
+        }
+    }
+
+    private static Path segment(Path folder) throws IOException {
+        return segments(folder).get(0);
+    }
+
+    /** Returns how many entries were found, or -1 if the folder was refused as corrupt. */
+    private static int checkPrefixOrRefused(Path folder, String what) throws StorageException {
+        try (ReplicaFolder files = ReplicaFolder.open(folder, LARGE)) {
+            List<LogEntry> found = files.log().takeRecovered();
+            assertWithMessage(what).that(found).isEqualTo(entries(1, found.size(), 1));
+            return found.size();
+        } catch (StorageException e) {
+            assertWithMessage(what).that(e.kind()).isEqualTo(StorageException.Kind.CORRUPT);
+            return -1;
+        }
+    }
+
+    private static void assertRefused(Path folder) {
+        StorageException refusal = assertThrows(
+                StorageException.class, () -> ReplicaFolder.open(folder, LARGE).close());
+        assertThat(refusal.kind()).isEqualTo(StorageException.Kind.CORRUPT);
+    }
+}
