Measure the slopes of memory, processor time and bytes

Cause: docs/CAPACITY.md needs slopes from runs. Ruled out: a simulation of the fleet, which the users do not want; each part is measured by itself at four sizes.

--- a/testbed/src/main/java/org/cicadahead/testbed/Main.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/Main.java
@@ -1,5 +1,6 @@
 package org.cicadahead.testbed;
 
+import org.cicadahead.testbed.capacity.CapacityCommand;
 import org.cicadahead.testbed.emulator.EngineCommand;
 import org.cicadahead.testbed.emulator.ServiceCommand;
 import org.cicadahead.testbed.fleet.FleetException;
@@ -16,7 +17,8 @@
             ServiceCommand.class,
             QuickstartCommand.class,
             ProveCommand.class,
-            LoadCommand.class
+            LoadCommand.class,
+            CapacityCommand.class
         })
 public final class Main {
 
