Close gaps that a review of the request flow found

Cause: a review of each callback found a replay answered as a grant when the caller had gone, an unconfirmed finish that was abandoned although it might still commit, waiting requests of gone callers that took a grant, and leaving endpoints that used up the retry budget until the next table.

Change: each of these; an endpoint that says it leaves gets nothing until it is announced anew; connections to endpoints gone for 30 min are closed; the endpoint of a recorded outcome is told to the caller.

Ruled out: forbidding the crashed endpoints of a suspect for good, as a pool without another endpoint would refuse a request that only shared a crash.

--- a/entry/src/main/java/org/cicadahead/caller/MalformedHandler.java
+++ b/entry/src/main/java/org/cicadahead/caller/MalformedHandler.java
@@ -24,6 +24,7 @@
                 ? Refusal.before(RefusalReason.REQUEST_MALFORMED, "The request is not valid HTTP")
                 : Refusal.of(RefusalReason.INTERNAL_ERROR, false, "");
         service.refused(refusal);
+        response.setStatus(refusal.reason().status());
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, Problems.CONTENT_TYPE);
         response.write(true, ByteBuffer.wrap(Problems.document(refusal)), callback);
         return true;
--- a/entry/src/main/java/org/cicadahead/entry/EndpointDirectory.java
+++ b/entry/src/main/java/org/cicadahead/entry/EndpointDirectory.java
@@ -1,14 +1,18 @@
 package org.cicadahead.entry;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 import org.cicadahead.model.EndpointId;
 import org.cicadahead.model.ProgramKey;
+import org.cicadahead.model.RefusalReason;
 import org.cicadahead.model.ZoneName;
 import org.cicadahead.protocol.Announcement;
 import org.cicadahead.protocol.EndpointLoad;
@@ -26,9 +30,13 @@
 
     private static final double MIN_RETRIES_PER_SECOND = 10;
 
+    /** Longer than any deadline that is usual for a request, in milliseconds. */
+    private static final long KEEP_CONNECTION_MILLIS = 1_800_000;
+
     private final EndpointChooser chooser;
     private final RetryBudget retries = RetryBudget.create(RETRY_SHARE, MIN_RETRIES_PER_SECOND);
     private final Map<String, PeerClient> peers = new ConcurrentHashMap<>();
+    private final Map<String, Long> goneSince = new HashMap<>();
     private final LongSupplier clock;
 
     EndpointDirectory(ZoneName zone, LongSupplier clock) {
@@ -36,8 +44,15 @@
         this.clock = clock;
     }
 
-    synchronized void apply(EndpointsDelta delta) {
-        chooser.apply(delta, clock.getAsLong());
+    void apply(EndpointsDelta delta) {
+        Set<String> known;
+        synchronized (this) {
+            chooser.apply(delta, clock.getAsLong());
+            known = chooser.addresses();
+            peers.keySet().forEach(address -> goneSince.putIfAbsent(address, clock.getAsLong()));
+            goneSince.keySet().removeAll(known);
+        }
+        closeUnused();
     }
 
     synchronized long epoch() {
@@ -60,8 +75,11 @@
         chooser.completed(endpoint, program, root, tokens);
     }
 
-    synchronized void failed(EndpointId endpoint, boolean fault) {
-        chooser.failed(endpoint, fault, clock.getAsLong());
+    synchronized void failed(EndpointId endpoint, RefusalReason reason) {
+        chooser.failed(endpoint, RetryPolicy.isFault(reason), clock.getAsLong());
+        if (reason == RefusalReason.ENDPOINT_LEAVING) {
+            chooser.leaving(endpoint);
+        }
     }
 
     synchronized List<Announcement> stale(long maxAgeMillis, int limit) {
@@ -93,6 +111,26 @@
         }
     }
 
+    /** Runs under way on an endpoint that left the table may still end, so that its connection is kept for a time. */
+    private void closeUnused() {
+        List<String> unused = new ArrayList<>();
+        synchronized (this) {
+            long now = clock.getAsLong();
+            goneSince.forEach((address, since) -> {
+                if (now - since >= KEEP_CONNECTION_MILLIS) {
+                    unused.add(address);
+                }
+            });
+            unused.forEach(goneSince::remove);
+        }
+        for (String address : unused) {
+            PeerClient peer = peers.remove(address);
+            if (peer != null) {
+                peer.close();
+            }
+        }
+    }
+
     void close() {
         peers.values().forEach(PeerClient::close);
     }
--- a/entry/src/main/java/org/cicadahead/entry/EndpointRun.java
+++ b/entry/src/main/java/org/cicadahead/entry/EndpointRun.java
@@ -145,6 +145,8 @@
             fail(RefusalReason.ANSWER_INCOMPLETE, false, "The end of the answer belongs to another run");
         } else if (end.refusal() != null) {
             fail(end.refusal(), end.notRun(), end.detail());
+        } else if (end.status() < 200 || end.status() > 599) {
+            fail(RefusalReason.ANSWER_INCOMPLETE, false, "The answer has no valid status");
         } else if (end.chunks() != nextSequence) {
             fail(RefusalReason.ANSWER_INCOMPLETE, false, "The last chunks of the answer are missing");
         } else {
--- a/entry/src/main/java/org/cicadahead/entry/RecordedAnswer.java
+++ b/entry/src/main/java/org/cicadahead/entry/RecordedAnswer.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.Map;
+import org.cicadahead.protocol.Outcome;
 
 /**
  * An answer as it is recorded in the history of a program. Immutable.
@@ -20,6 +21,11 @@
         contentType = contentType == null || contentType.isEmpty() ? "application/json" : contentType;
     }
 
+    static RecordedAnswer of(Outcome outcome, boolean chat) {
+        return new RecordedAnswer(
+                chat && isSuccess(outcome.status()), outcome.status(), outcome.contentType(), outcome.body());
+    }
+
     static boolean isSuccess(int status) {
         return status >= 200 && status < 300;
     }
--- a/entry/src/main/java/org/cicadahead/entry/RequestFlow.java
+++ b/entry/src/main/java/org/cicadahead/entry/RequestFlow.java
@@ -29,6 +29,7 @@
 import org.cicadahead.protocol.Refused;
 import org.cicadahead.protocol.RunEnd;
 import org.cicadahead.protocol.RunRequest;
+import org.cicadahead.protocol.StepOutcome;
 import org.cicadahead.protocol.StepReply;
 import org.cicadahead.wire.PeerClient;
 import org.cicadahead.wire.WireException;
@@ -58,6 +59,7 @@
     private Work.Call call;
     private RunPlan plan;
     private EndpointRun run;
+    private EndpointId ranAt;
     /** Why the last run failed, if another endpoint is tried. */
     private EndpointRun.Failure retried;
     /** Why a claimed request is not tried again, while control is asked what became of it. */
@@ -66,6 +68,7 @@
     private long startedMillis;
     private long endpointWaitMillis;
     private Future<?> deadline;
+    private CompletableFuture<Admitted> admission;
     private boolean finishing;
     private boolean ended;
 
@@ -112,9 +115,7 @@
     @Override
     public void completed(RunEnd end, RecordedAnswer recorded) {
         ledger.mayHaveRun();
-        long used = end.usage() == null
-                ? call.promptTokens() + ChatWork.tokens(run.answerBytes())
-                : end.usage().promptTokens() + end.usage().completionTokens();
+        long used = plan.usedTokens(end.usage(), run.answerBytes());
         context.endpoints().report(run.endpoint(), end.load());
         context.endpoints().completed(run.endpoint(), plan.program(), plan.root(), used);
         finish(used, recorded);
@@ -128,7 +129,7 @@
         } else {
             ledger.mayHaveRun();
         }
-        context.endpoints().failed(endpoint, RetryPolicy.isFault(failure.reason()));
+        context.endpoints().failed(endpoint, failure.reason());
         run = null;
         if (claim != null) {
             settleClaim(failure, endpoint);
@@ -166,7 +167,8 @@
         if (target.limits() == null) {
             admitted(new Admitted(0, Optional.empty(), 0));
         } else {
-            then(context.admission().request(target.limits()), this::admitted);
+            admission = context.admission().request(target.limits());
+            then(admission, this::admitted);
         }
     }
 
@@ -190,11 +192,12 @@
             refusedByControl(message);
             return;
         }
-        HistoryRecord replayed = StepSession.replayed(reply);
-        if (replayed != null && !ended) {
-            replay(replayed);
-        } else if (reply.outcome().refusal().isPresent()) {
-            fail(reply.outcome().refusal().get(), "The next step is " + reply.expectedStep());
+        Optional<HistoryRecord> replayed = StepSession.replayed(reply);
+        if (replayed.isPresent()) {
+            replay(replayed.get());
+        } else if (reply.outcome() != StepOutcome.GRANTED) {
+            RefusalReason reason = reply.outcome().refusal().orElse(RefusalReason.INTERNAL_ERROR);
+            fail(reason, "The next step is " + reply.expectedStep());
         } else {
             step.granted(reply, () -> later(() -> fail(RefusalReason.STEP_FENCED, "")));
             if (ended) {
@@ -217,7 +220,7 @@
 
     /** Continues when the history is known, on which the prompt and so the digest of the run depend. */
     private void prepared() {
-        call = work.call(step == null ? List.of() : step.history());
+        call = step == null ? work.call(List.of()) : step.call(work);
         plan = new RunPlan(request, target, work, call, step);
         Optional<PoisonEntry> poison = context.replica().poison(plan.digest());
         if (poison.isPresent() && poison.get().refused()) {
@@ -261,8 +264,8 @@
     }
 
     private void recorded(Outcome outcome) {
-        boolean chat = request.kind() == CallerRequest.Kind.CHAT && RecordedAnswer.isSuccess(outcome.status());
-        RecordedAnswer recorded = new RecordedAnswer(chat, outcome.status(), outcome.contentType(), outcome.body());
+        RecordedAnswer recorded = RecordedAnswer.of(outcome, request.kind() == CallerRequest.Kind.CHAT);
+        ranAt = outcome.endpoint();
         context.counters().replayed();
         finish(call.promptTokens() + ChatWork.tokens(recorded.body().length), recorded);
     }
@@ -280,12 +283,10 @@
             lastFailure = mayRetry ? null : failure;
             if (mayRetry) {
                 context.counters().retried(failure.reason());
-                lookUpClaim();
             } else if (released || RetryPolicy.isFinal(failure.reason())) {
                 refuse(Refusal.of(failure.reason(), ledger.isNotRun(), failure.detail()));
-            } else {
-                lookUpClaim();
             }
+            lookUpClaim();
         });
     }
 
@@ -307,9 +308,9 @@
             return;
         }
         Optional<PoisonEntry> poison = context.replica().poison(plan.digest());
-        Set<EndpointId> forbidden = new HashSet<>(retries.crashed());
-        poison.ifPresent(entry -> forbidden.addAll(entry.crashed()));
-        Optional<Announcement> chosen = context.endpoints().choose(plan.choice(retries.failed(), forbidden));
+        Set<EndpointId> avoided = new HashSet<>(retries.failed());
+        poison.ifPresent(entry -> avoided.addAll(entry.crashed()));
+        Optional<Announcement> chosen = context.endpoints().choose(plan.choice(avoided, retries.crashed()));
         PeerClient peer =
                 chosen.map(found -> context.endpoints().peer(found.address())).orElse(null);
         if (peer == null) {
@@ -321,6 +322,7 @@
         RunRequest attempt = plan.attempt(claim == null ? null : claim.claim(), alone, left);
         AnswerCollector collector = claim == null || !work.isStream() ? work.collector() : new BodyCollector(true);
         run = new EndpointRun(chosen.get().endpoint(), attempt, collector, context.counters(), serial, this);
+        ranAt = run.endpoint();
         ledger.sent();
         run.start(peer);
     }
@@ -340,10 +342,7 @@
 
     /** Records the step, if it is one, before the answer is given as complete. */
     private void finish(long usedTokens, RecordedAnswer recorded) {
-        boolean records = RecordedAnswer.isSuccess(recorded.status())
-                || claim != null
-                || request.kind() == CallerRequest.Kind.SERVICE && recorded.status() < 500;
-        if (step == null || !records) {
+        if (step == null || !plan.records(recorded, claim != null)) {
             if (step != null) {
                 step.abandon(usedTokens);
             }
@@ -352,12 +351,17 @@
         }
         finishing = true;
         step.finish(usedTokens, call.newMessages(), recorded)
-                .whenCompleteAsync((done, failure) -> finished(done, failure, recorded), serial);
+                .whenCompleteAsync(
+                        (done, failure) ->
+                                guarded(() -> finished(done, failure, recorded)).run(),
+                        serial);
     }
 
     private void finished(Done done, Throwable failure, RecordedAnswer recorded) {
         finishing = false;
         if (failure != null) {
+            // The finish may still be committed, so the step is not abandoned; its lease ends by itself.
+            step.release();
             fail(RefusalReason.OUTCOME_UNCONFIRMED, "");
         } else if (!done.accepted()) {
             step.release();
@@ -422,15 +426,14 @@
 
     private void giveUp(Refusal refusal) {
         if (step != null) {
-            long generated = run == null ? 0 : ChatWork.tokens(run.answerBytes());
-            step.abandon(ledger.mayRun() ? call.promptTokens() + generated : 0);
+            step.abandon(ledger.mayRun() ? plan.usedTokens(null, run == null ? 0 : run.answerBytes()) : 0);
         }
         answer.refuse(refusal);
     }
 
     private void leaveRun(boolean cancel) {
         if (run != null && run.leave(cancel)) {
-            context.endpoints().failed(run.endpoint(), false);
+            context.endpoints().failed(run.endpoint(), RefusalReason.CALLER_GONE);
         }
     }
 
@@ -440,12 +443,13 @@
         if (deadline != null) {
             deadline.cancel(false);
         }
+        if (admission != null) {
+            admission.cancel(false);
+        }
     }
 
     private Map<String, String> headers() {
-        return run == null
-                ? Map.of()
-                : Map.of("Cicadahead-Endpoint", run.endpoint().value());
+        return ranAt == null ? Map.of() : Map.of("Cicadahead-Endpoint", ranAt.value());
     }
 
     private void later(Runnable task) {
@@ -467,6 +471,9 @@
 
     private void controlFailed(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (ended) {
+            return;
+        }
         if (cause instanceof WireException wire) {
             if (!wire.mayHaveArrived() && !ledger.mayRun()) {
                 ledger.claimNotSent();
--- a/entry/src/main/java/org/cicadahead/entry/RunPlan.java
+++ b/entry/src/main/java/org/cicadahead/entry/RunPlan.java
@@ -10,6 +10,7 @@
 import org.cicadahead.model.RunId;
 import org.cicadahead.protocol.ClaimRef;
 import org.cicadahead.protocol.RunRequest;
+import org.cicadahead.protocol.Usage;
 import org.cicadahead.routing.ChoiceRequest;
 
 /** What all attempts to run a request have in common. Immutable. */
@@ -50,6 +51,20 @@
         return digest;
     }
 
+    /** Returns whether an answer completes a step; after other answers the step may be sent again. */
+    boolean records(RecordedAnswer answer, boolean claimed) {
+        return RecordedAnswer.isSuccess(answer.status())
+                || claimed
+                || request.kind() == CallerRequest.Kind.SERVICE && answer.status() < 500;
+    }
+
+    /** Returns the tokens that a run used, estimated if the endpoint does not tell them. */
+    long usedTokens(Usage usage, long answerBytes) {
+        return usage == null
+                ? call.promptTokens() + ChatWork.tokens(answerBytes)
+                : usage.promptTokens() + usage.completionTokens();
+    }
+
     ChoiceRequest choice(Set<EndpointId> avoided, Set<EndpointId> forbidden) {
         String model =
                 target.route().target() == EndpointKind.ENGINE ? target.route().model() : "";
--- a/entry/src/main/java/org/cicadahead/entry/StepSession.java
+++ b/entry/src/main/java/org/cicadahead/entry/StepSession.java
@@ -36,6 +36,8 @@
     private StepRef step;
     private long spentTokens;
     private long reservedTokens;
+    private Work.Call call;
+    private int callSteps;
 
     StepSession(EntryContext context, CallerRequest request, Target target) {
         this.context = context;
@@ -57,14 +59,6 @@
         return spentTokens;
     }
 
-    List<HistoryRecord> history() {
-        return history;
-    }
-
-    boolean isHeld() {
-        return step != null;
-    }
-
     /**
      * Begins the step. The history is read first, as the budget that is reserved depends on it.
      *
@@ -106,11 +100,16 @@
         context.renewal().add(step, onLost);
     }
 
-    /** Returns the recorded answer of a replayed step, or null. */
-    static HistoryRecord replayed(StepReply reply) {
+    /** Returns the recorded answer of a replayed step. */
+    static Optional<HistoryRecord> replayed(StepReply reply) {
         boolean replayed =
                 reply.outcome() == StepOutcome.REPLAYED && !reply.history().isEmpty();
-        return replayed ? reply.history().get(reply.history().size() - 1) : null;
+        return replayed ? Optional.of(reply.history().get(reply.history().size() - 1)) : Optional.empty();
+    }
+
+    /** Returns what to send to the endpoint; made anew only if control knew more of the history. */
+    Work.Call call(Work work) {
+        return history.size() == callSteps ? call : work.call(history);
     }
 
     CompletableFuture<Done> finish(long usedTokens, byte[] messages, RecordedAnswer answer) {
@@ -148,7 +147,9 @@
     }
 
     private CompletableFuture<Message> beginStep(Work work) {
-        reservedTokens = work.call(history).promptTokens() + work.maxTokens();
+        call = work.call(history);
+        callSteps = history.size();
+        reservedTokens = call.promptTokens() + work.maxTokens();
         BeginStep begin = new BeginStep(
                 program,
                 request.parent(),
--- a/entry/src/main/java/org/cicadahead/routing/EndpointChooser.java
+++ b/entry/src/main/java/org/cicadahead/routing/EndpointChooser.java
@@ -172,6 +172,29 @@
         }
     }
 
+    /**
+     * Takes note that an endpoint refused work because it is leaving, so that it gets none until it is announced anew.
+     *
+     * @param endpoint the endpoint
+     */
+    public void leaving(EndpointId endpoint) {
+        EndpointStats stats = endpoints.get(endpoint);
+        if (stats != null) {
+            stats.leave();
+        }
+    }
+
+    /**
+     * Returns the addresses of the known endpoints.
+     *
+     * @return the addresses
+     */
+    public Set<String> addresses() {
+        Set<String> addresses = new HashSet<>();
+        endpoints.values().forEach(stats -> addresses.add(stats.announcement().address()));
+        return addresses;
+    }
+
     /**
      * Returns the endpoints whose load has not been reported for a time, the oldest first.
      *
@@ -215,6 +238,7 @@
                     || request.model().isEmpty()
                     || announcement.models().contains(request.model());
             if (announcement.state() == EndpointState.READY
+                    && !stats.isLeaving()
                     && announcement.pools().contains(request.pool())
                     && serves) {
                 members.add(stats);
--- a/entry/src/main/java/org/cicadahead/routing/EndpointStats.java
+++ b/entry/src/main/java/org/cicadahead/routing/EndpointStats.java
@@ -17,6 +17,7 @@
     private final long firstSeenMillis;
     private final boolean slowStart;
     private Announcement announcement;
+    private boolean leaving;
     private EndpointLoad load;
     private long reportedAtMillis = Long.MIN_VALUE;
     private int sentSinceReport;
@@ -35,10 +36,20 @@
         return announcement;
     }
 
+    /** An unchanged announcement is older than what the endpoint itself said. */
     void announce(Announcement next) {
+        leaving &= next.equals(announcement);
         announcement = next;
     }
 
+    boolean isLeaving() {
+        return leaving;
+    }
+
+    void leave() {
+        leaving = true;
+    }
+
     long reportedAtMillis() {
         return reportedAtMillis;
     }
--- a/entry/src/test/java/org/cicadahead/routing/EndpointChooserTest.java
+++ b/entry/src/test/java/org/cicadahead/routing/EndpointChooserTest.java
@@ -170,6 +170,16 @@
                 .isEqualTo(2);
     }
 
+    @Test
+    void endpointThatSaysThatItLeavesGetsNothingUntilItIsAnnouncedAnew() {
+        EndpointChooser chooser = chooser(1, 1);
+        chooser.leaving(endpoint(0));
+        chooser.apply(new EndpointsDelta(true, 1, 1, List.of(announcement(0, "a", 1)), List.of()), 0);
+        assertThat(chooser.choose(request(null, 1), 0)).isEmpty();
+        chooser.apply(new EndpointsDelta(true, 1, 2, List.of(announcement(0, "a", 2)), List.of()), 0);
+        assertThat(chooser.choose(request(null, 1), 0)).isPresent();
+    }
+
     @Property(tries = 100)
     void retriesStayWithinTheirShare(@ForAll long seed) {
         Random random = new Random(seed);
