Ask the endpoint for a whole answer when a claimed chat is streamed

Cause: the body said stream while the run request did not, so an engine could have answered with events where a completion was expected.

Change: the body of a claimed chat says stream false; the caller still gets the events that it asked for, made from the recorded completion.

Ruled out: streaming claimed answers, as their outcome is recorded whole.

--- a/entry/src/main/java/org/cicadahead/entry/ChatWork.java
+++ b/entry/src/main/java/org/cicadahead/entry/ChatWork.java
@@ -25,13 +25,21 @@
     private final ObjectNode body;
     private final ArrayNode messages;
     private final boolean stream;
+    private final boolean relayed;
     private final long maxTokens;
     private final RequestDigest digest;
 
-    private ChatWork(ObjectNode body, ArrayNode messages, boolean stream, long maxTokens, RequestDigest digest) {
+    private ChatWork(
+            ObjectNode body,
+            ArrayNode messages,
+            boolean stream,
+            boolean relayed,
+            long maxTokens,
+            RequestDigest digest) {
         this.body = body;
         this.messages = messages;
         this.stream = stream;
+        this.relayed = relayed;
         this.maxTokens = maxTokens;
         this.digest = digest;
     }
@@ -57,7 +65,8 @@
         ObjectNode compared = object.deepCopy();
         compared.remove(List.of("stream", "stream_options"));
         RequestDigest digest = Json.digest(Json.write(Json.canonical(compared)));
-        return new ChatWork(object, messages, stream.asBoolean(false), maxTokens(object), digest);
+        boolean wanted = stream.asBoolean(false);
+        return new ChatWork(object, messages, wanted, wanted, maxTokens(object), digest);
     }
 
     /** Returns the route that the model field names. */
@@ -79,7 +88,11 @@
         if (!copy.hasNonNull("max_tokens") && !copy.hasNonNull("max_completion_tokens")) {
             copy.put("max_tokens", maxTokens);
         }
-        return new ChatWork(copy, messages, stream, maxTokens, digest);
+        if (!route.repeatable()) {
+            copy.put("stream", false);
+            copy.remove("stream_options");
+        }
+        return new ChatWork(copy, messages, stream, stream && route.repeatable(), maxTokens, digest);
     }
 
     @Override
@@ -92,6 +105,11 @@
         return stream;
     }
 
+    @Override
+    public boolean isRelayed() {
+        return relayed;
+    }
+
     @Override
     public long maxTokens() {
         return maxTokens;
@@ -99,7 +117,7 @@
 
     @Override
     public AnswerCollector collector() {
-        return stream ? new EventCollector() : new BodyCollector(true);
+        return relayed ? new EventCollector() : new BodyCollector(true);
     }
 
     @Override
--- a/entry/src/main/java/org/cicadahead/entry/RequestFlow.java
+++ b/entry/src/main/java/org/cicadahead/entry/RequestFlow.java
@@ -320,8 +320,7 @@
         boolean alone = poison.isPresent() || !retries.crashed().isEmpty();
         long left = Math.max(1, target.route().deadlineMillis() - (context.nowMillis() - startedMillis));
         RunRequest attempt = plan.attempt(claim == null ? null : claim.claim(), alone, left);
-        AnswerCollector collector = claim == null || !work.isStream() ? work.collector() : new BodyCollector(true);
-        run = new EndpointRun(chosen.get().endpoint(), attempt, collector, context.counters(), serial, this);
+        run = new EndpointRun(chosen.get().endpoint(), attempt, work.collector(), context.counters(), serial, this);
         ranAt = run.endpoint();
         ledger.sent();
         run.start(peer);
--- a/entry/src/main/java/org/cicadahead/entry/RunPlan.java
+++ b/entry/src/main/java/org/cicadahead/entry/RunPlan.java
@@ -89,7 +89,7 @@
                 call.path(),
                 call.headers(),
                 call.body(),
-                work.isStream() && claim == null,
+                work.isRelayed(),
                 call.promptTokens(),
                 work.maxTokens(),
                 deadlineMillis);
--- a/entry/src/main/java/org/cicadahead/entry/ServiceWork.java
+++ b/entry/src/main/java/org/cicadahead/entry/ServiceWork.java
@@ -44,6 +44,11 @@
         return false;
     }
 
+    @Override
+    public boolean isRelayed() {
+        return false;
+    }
+
     @Override
     public long maxTokens() {
         return 0;
--- a/entry/src/main/java/org/cicadahead/entry/Work.java
+++ b/entry/src/main/java/org/cicadahead/entry/Work.java
@@ -14,6 +14,12 @@
     /** Returns whether the caller wants a stream. */
     boolean isStream();
 
+    /**
+     * Returns whether the endpoint streams the answer. A claimed request is not streamed by the endpoint, as its whole
+     * answer is its recorded outcome.
+     */
+    boolean isRelayed();
+
     /** Returns the tokens that may be generated. */
     long maxTokens();
 
