Test the death of an endpoint during and before a run

Cause: lost connections were only tested by a failing handler, not by an endpoint whose process is gone.

Change: an endpoint closes its server within a stream, and is called again after that: endpoint_lost with not_run false, then true.

Ruled out: nothing; the flow needed no change.

Conclusion: the transport's knowledge of what was sent reaches the caller.

--- a/entry/src/test/java/org/cicadahead/entry/FaultTest.java
+++ b/entry/src/test/java/org/cicadahead/entry/FaultTest.java
@@ -179,6 +179,18 @@
         assertThat(fixture.control.received(FinishStep.class)).isEmpty();
     }
 
+    @Test
+    void deathOfTheOnlyEndpointIsToldTruthfullyDuringAndBeforeARun() throws Exception {
+        fixture.engine.behaviour = (run, responder) -> {
+            responder.part(FakeEndpoint.chunk(run, 0, FakeEndpoint.event("Hel")));
+            fixture.engine.close();
+        };
+        HttpResponse<String> during = fixture.chat(Fixture.chat("plan", true, "Hi"));
+        assertThat(during.body()).contains("\"reason\":\"endpoint_lost\",\"not_run\":false");
+        assertRefused(fixture.chat(Fixture.chat("plan", true, "Hi")), RefusalReason.ENDPOINT_LOST, true);
+        assertThat(fixture.engine.runs).hasSize(1);
+    }
+
     /** What a step's begin may answer, which the caller gets without a run. */
     @ParameterizedTest
     @EnumSource(
