--- a/control/src/main/java/org/cicadahead/control/Housekeeping.java
+++ b/control/src/main/java/org/cicadahead/control/Housekeeping.java
@@ -24,12 +24,16 @@
     /** Programs ended in one round, so that callers' commands do not wait behind them. */
     private static final int MAX_ENDS = 200;
 
+    /** How often idle programs are looked for, in milliseconds; idle limits are minutes, and each look visits all. */
+    private static final long IDLE_INTERVAL_MILLIS = 2_000;
+
     private static final long PROPOSE_TIMEOUT_MILLIS = 2_000;
 
     private final ControlService service;
     private final ControlStateMachine machine;
     private final Leadership leadership;
     private final LongSupplier wallClock;
+    private long nextIdleMillis = Long.MIN_VALUE;
 
     Housekeeping(ControlService service, ControlStateMachine machine, Leadership leadership, LongSupplier wallClock) {
         this.service = service;
@@ -62,15 +66,22 @@
             }
         }
         long wallMillis = wallClock.getAsLong();
-        List<ProgramKey> idle =
-                machine.read(state -> state.programs().idle(Math.max(wallMillis, state.lastMillis()), MAX_ENDS));
-        idle.forEach(program -> propose(new EndProgram(program, ProgramTable.IDLE_CAUSE)));
+        if (term.nowMillis() >= nextIdleMillis) {
+            nextIdleMillis = term.nowMillis() + IDLE_INTERVAL_MILLIS;
+            endIdle(wallMillis);
+        }
         if (machine.read(state -> state.hasExpired(wallMillis))) {
             // An empty command carries the leader's time to the tables when no other command does.
             propose(new ClearSuspects(List.of()));
         }
     }
 
+    private void endIdle(long wallMillis) {
+        List<ProgramKey> idle =
+                machine.read(state -> state.programs().idle(Math.max(wallMillis, state.lastMillis()), MAX_ENDS));
+        idle.forEach(program -> propose(new EndProgram(program, ProgramTable.IDLE_CAUSE)));
+    }
+
     private static long orphansBefore(Leadership.Term term, StartedClaims claims) {
         return term.tables().withEndpoints(table -> {
             Optional<Long> generation = table.generation(claims.endpoint());
--- a/control/src/main/java/org/cicadahead/state/ClaimTable.java
+++ b/control/src/main/java/org/cicadahead/state/ClaimTable.java
@@ -3,12 +3,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.function.LongSupplier;
 import org.cicadahead.model.ClaimKey;
 import org.cicadahead.model.EndpointId;
@@ -42,7 +41,9 @@
     private static final Done FENCED = Done.refused("another attempt has taken over the claim");
     private static final Done NOT_FOUND = Done.refused("the claim does not exist");
 
-    private final Map<ClaimKey, Claim> claims = new HashMap<>();
+    /** In order of the last change, on every replica. */
+    private final Map<ClaimKey, Claim> claims = new LinkedHashMap<>();
+
     private final Map<EndpointId, TreeMap<Long, Integer>> started = new TreeMap<>();
     private final Deque<Change> changes = new ArrayDeque<>();
     private final LongSupplier fences;
@@ -171,17 +172,12 @@
         if (generations == null || generations.firstKey() >= command.beforeGeneration()) {
             return Done.ok();
         }
-        TreeSet<ClaimKey> orphans = new TreeSet<>(ClaimTable::compare);
-        for (Claim claim : claims.values()) {
-            if (claim.state() == ClaimState.STARTED
-                    && claim.endpoint().equals(command.endpoint())
-                    && claim.generation() < command.beforeGeneration()) {
-                orphans.add(claim.key());
-            }
-        }
-        for (ClaimKey key : orphans) {
-            put(claims.get(key).ended(ClaimState.UNKNOWN, null, nowMillis));
-        }
+        List<Claim> orphans = claims.values().stream()
+                .filter(claim -> claim.state() == ClaimState.STARTED
+                        && claim.endpoint().equals(command.endpoint())
+                        && claim.generation() < command.beforeGeneration())
+                .toList();
+        orphans.forEach(claim -> put(claim.ended(ClaimState.UNKNOWN, null, nowMillis)));
         return Done.ok();
     }
 
@@ -203,22 +199,13 @@
     }
 
     List<Claim> image() {
-        List<Claim> image = new ArrayList<>(claims.values());
-        image.sort((a, b) -> a.changedMillis() != b.changedMillis()
-                ? Long.compare(a.changedMillis(), b.changedMillis())
-                : compare(a.key(), b.key()));
-        return image;
+        return List.copyOf(claims.values());
     }
 
     void restore(List<Claim> image) {
         image.forEach(this::put);
     }
 
-    private static int compare(ClaimKey a, ClaimKey b) {
-        int byOrganisation = a.organisation().compareTo(b.organisation());
-        return byOrganisation != 0 ? byOrganisation : a.key().compareTo(b.key());
-    }
-
     private static Done refusedIn(Claim claim) {
         return Done.refused("the claim is " + claim.state());
     }
@@ -241,7 +228,8 @@
     }
 
     private void put(Claim claim) {
-        Claim before = claims.put(claim.key(), claim);
+        Claim before = claims.remove(claim.key());
+        claims.put(claim.key(), claim);
         changes.addLast(new Change(claim.changedMillis(), claim.key()));
         if (before != null && before.state() == ClaimState.STARTED) {
             uncount(before);
--- a/control/src/main/java/org/cicadahead/state/ControlState.java
+++ b/control/src/main/java/org/cicadahead/state/ControlState.java
@@ -1,7 +1,6 @@
 package org.cicadahead.state;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import org.cicadahead.protocol.AbandonClaim;
@@ -172,12 +171,7 @@
      */
     public StateImage image() {
         return new StateImage(
-                lastFence,
-                lastMillis,
-                configuration.image(),
-                programs.image(),
-                List.copyOf(claims.image()),
-                poison.image());
+                lastFence, lastMillis, configuration.image(), programs.image(), claims.image(), poison.image());
     }
 
     private long nextFence() {
--- a/control/src/main/java/org/cicadahead/state/ProgramTable.java
+++ b/control/src/main/java/org/cicadahead/state/ProgramTable.java
@@ -2,9 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Deque;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -48,7 +47,9 @@
     private static final Done UNKNOWN = Done.refused("the program does not exist");
     private static final Done FENCED = Done.refused("another attempt has taken over the step");
 
-    private final Map<ProgramKey, Program> programs = new HashMap<>();
+    /** In order of creation, which lists parents before their sub-agents on every replica. */
+    private final Map<ProgramKey, Program> programs = new LinkedHashMap<>();
+
     private final Deque<Program> historiesToDelete = new ArrayDeque<>();
     private final Deque<Program> toForget = new ArrayDeque<>();
     private final EndedPrograms ended = new EndedPrograms();
@@ -240,9 +241,7 @@
 
     ProgramsImage image() {
         List<ProgramImage> image = new ArrayList<>(programs.size());
-        programs.values().stream()
-                .sorted(Comparator.<Program>comparingInt(p -> p.depth).thenComparing(p -> p.key))
-                .forEach(p -> image.add(p.image()));
+        programs.values().forEach(p -> image.add(p.image()));
         return new ProgramsImage(image, toForget.stream().map(p -> p.key).toList(), ended.image());
     }
 
