--- a/testbed/src/test/java/org/cicadahead/testbed/client/ProgramRunTest.java
+++ b/testbed/src/test/java/org/cicadahead/testbed/client/ProgramRunTest.java
@@ -20,8 +20,8 @@
 
 class ProgramRunTest {
     private static final Turn TURN = Turn.first("p", "Hello.", 2);
-    private static final String TOKENS = "data: {\"choices\":[{\"delta\":{\"content\":\"%s\"}}]}\n\n"
-            .formatted(EngineAnswers.content("Hello.", 2));
+    private static final String TOKENS =
+            "data: {\"choices\":[{\"delta\":{\"content\":\"%s\"}}]}\n\n".formatted(EngineAnswers.content("Hello.", 2));
     private static final String DONE = "data: [DONE]\n\n";
 
     /** An answer of the entry that a test prepares. */
