Bound the memory of bodies on their way to the engine

Cause: with 50,000-token prompts and 60 requests at once, a daemon with a 32 MB heap ran out of memory (trial): a body was held four times, by the frame, the rewritten copy, its growing buffer, and the HTTP client until the answer ended. Ruled out: a smaller queue alone, as running requests held their bodies too.

Change: the body is spliced instead of copied and let go when it is sent; waiting frames are bounded by making the readers work when the workers are busy; 6 MiB of bodies may wait. The admission limit falls faster when most tokens are slow.

Conclusion: 21 tests of the module and 29 of the testbed pass.

--- a/endpoint/src/main/java/org/cicadahead/endpoint/EndpointNode.java
+++ b/endpoint/src/main/java/org/cicadahead/endpoint/EndpointNode.java
@@ -49,7 +49,7 @@
 public final class EndpointNode implements Node {
     private static final Logger LOG = Logger.getLogger("cicadahead.endpoint");
     private static final String OPEN_ORGANISATION = "open";
-    private static final int MAX_WAITING_WORK = 1_024;
+    private static final long WORKER_IDLE_SECONDS = 10;
     private static final long TICK_MILLIS = 100;
     private static final long BACKEND_TICK_MILLIS = 250;
     private static final long SHUTDOWN_POLL_MILLIS = 20;
@@ -153,12 +153,19 @@
     }
 
     private static ThreadPoolExecutor workers(int count) {
+        // A full queue makes the readers of the connections work, which bounds the requests that are held in memory.
         ThreadPoolExecutor workers = new ThreadPoolExecutor(
-                count, count, 10, TimeUnit.SECONDS, new LinkedBlockingQueue<>(MAX_WAITING_WORK), task -> {
+                count,
+                count,
+                WORKER_IDLE_SECONDS,
+                TimeUnit.SECONDS,
+                new LinkedBlockingQueue<>(count),
+                task -> {
                     Thread thread = new Thread(task, "endpoint-worker");
                     thread.setDaemon(true);
                     return thread;
-                });
+                },
+                new ThreadPoolExecutor.CallerRunsPolicy());
         workers.allowCoreThreadTimeOut(true);
         return workers;
     }
--- a/endpoint/src/main/java/org/cicadahead/endpoint/RunFlow.java
+++ b/endpoint/src/main/java/org/cicadahead/endpoint/RunFlow.java
@@ -33,7 +33,7 @@
  */
 final class RunFlow {
     /** Bytes of request bodies that may wait; the process has a heap of 32 MB. */
-    private static final long MAX_QUEUED_BYTES = 8L * 1024 * 1024;
+    private static final long MAX_QUEUED_BYTES = 6L * 1024 * 1024;
     /** Bytes that may wait for an entry before reading from the engine pauses. */
     private static final long MAX_UNSENT_BYTES = 256L * 1024;
 
--- a/endpoint/src/main/java/org/cicadahead/engine/EngineBodies.java
+++ b/endpoint/src/main/java/org/cicadahead/engine/EngineBodies.java
@@ -1,12 +1,11 @@
 package org.cicadahead.engine;
 
-import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
-import java.io.ByteArrayOutputStream;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.cicadahead.protocol.Usage;
 import org.cicadahead.wire.Codec;
 
@@ -22,34 +21,15 @@
      * Returns the body for the engine. Fields of the caller with the names of ours are dropped, as a caller could
      * otherwise use the cache or the stream of another program.
      */
-    static byte[] request(EngineRun run) throws EngineException {
-        ByteArrayOutputStream out = new ByteArrayOutputStream(run.body().length + 256);
-        try (JsonParser in = Codec.json().getFactory().createParser(run.body());
-                JsonGenerator json = Codec.json().getFactory().createGenerator(out)) {
-            if (in.nextToken() != JsonToken.START_OBJECT) {
-                throw new EngineException(EngineException.Kind.INVALID, "the body is not a JSON object", null);
-            }
-            json.writeStartObject();
-            while (in.nextToken() == JsonToken.FIELD_NAME) {
-                String name = in.currentName();
-                in.nextToken();
-                if (name.equals(RUN_ID) || name.equals(CACHE_OWNER) || name.equals(STREAM)) {
-                    in.skipChildren();
-                } else {
-                    json.writeFieldName(name);
-                    json.copyCurrentStructure(in);
-                }
-            }
-            json.writeBooleanField(STREAM, run.stream());
-            json.writeStringField(RUN_ID, run.run().value());
-            if (run.owner() != null) {
-                json.writeStringField(CACHE_OWNER, run.owner());
-            }
-            json.writeEndObject();
-        } catch (IOException e) {
-            throw new EngineException(EngineException.Kind.INVALID, "the body is not JSON", e);
+    static SplicedBody request(EngineRun run) throws EngineException {
+        ObjectNode ours = Codec.json().createObjectNode();
+        ours.put(STREAM, run.stream()).put(RUN_ID, run.run().value());
+        if (run.owner() != null) {
+            ours.put(CACHE_OWNER, run.owner());
         }
-        return out.toByteArray();
+        String text = ours.toString();
+        byte[] head = text.substring(1, text.length() - 1).getBytes(StandardCharsets.UTF_8);
+        return SplicedBody.of(run.body(), List.of(RUN_ID, CACHE_OWNER, STREAM), head);
     }
 
     static byte[] order(EngineOrder order) {
--- /dev/null
+++ b/endpoint/src/main/java/org/cicadahead/engine/SplicedBody.java
@@ -0,0 +1,125 @@
+package org.cicadahead.engine;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.SequenceInputStream;
+import java.util.ArrayList;
+import java.util.Enumeration;
+import java.util.LinkedList;
+import java.util.List;
+import org.cicadahead.wire.Codec;
+import org.eclipse.jetty.client.InputStreamRequestContent;
+
+/**
+ * The body of a caller with some top-level fields replaced, as request content that is read once. It refers to the
+ * caller's bytes instead of copying them, and lets go of them when they are sent: bodies are up to 4 MiB, and the
+ * process has a heap of 32 MB.
+ */
+final class SplicedBody extends InputStreamRequestContent {
+    private static final int MAX_FIELDS = 256;
+
+    private final long length;
+
+    private record Slice(int from, int to) {}
+
+    /** Forgets each part when it hands it out. */
+    private record Draining(LinkedList<InputStream> parts) implements Enumeration<InputStream> {
+        @Override
+        public boolean hasMoreElements() {
+            return !parts.isEmpty();
+        }
+
+        @Override
+        public InputStream nextElement() {
+            return parts.removeFirst();
+        }
+    }
+
+    private SplicedBody(InputStream stream, long length) {
+        super("application/json", stream);
+        this.length = length;
+    }
+
+    /** Returns the body with the fields in {@code head}, and without the caller's fields of those names. */
+    static SplicedBody of(byte[] body, List<String> replaced, byte[] head) throws EngineException {
+        List<Slice> kept;
+        try {
+            kept = keptFields(body, replaced);
+        } catch (IOException e) {
+            throw new EngineException(EngineException.Kind.INVALID, "the body is not JSON", e);
+        }
+        ByteArrayOutputStream start = new ByteArrayOutputStream(head.length + 1);
+        start.write('{');
+        start.writeBytes(head);
+        LinkedList<InputStream> parts = new LinkedList<>();
+        parts.add(new ByteArrayInputStream(start.toByteArray()));
+        long length = start.size();
+        for (Slice slice : kept) {
+            parts.add(new ByteArrayInputStream(new byte[] {','}));
+            parts.add(new ByteArrayInputStream(body, slice.from(), slice.to() - slice.from()));
+            length += slice.to() - slice.from() + 1;
+        }
+        parts.add(new ByteArrayInputStream(new byte[] {'}'}));
+        return new SplicedBody(new SequenceInputStream(new Draining(parts)), length + 1);
+    }
+
+    @Override
+    public long getLength() {
+        return length;
+    }
+
+    private static List<Slice> keptFields(byte[] body, List<String> replaced) throws IOException, EngineException {
+        List<Slice> kept = new ArrayList<>();
+        try (JsonParser in = Codec.json().getFactory().createParser(body)) {
+            require(in.nextToken() == JsonToken.START_OBJECT, "the body is not a JSON object");
+            int from = -1;
+            while (in.nextToken() == JsonToken.FIELD_NAME) {
+                int start = offset(in);
+                require(isAt(body, start, '"') && kept.size() < MAX_FIELDS, "the body has an unusual form");
+                if (from >= 0) {
+                    kept.add(new Slice(from, endBefore(body, start, ',')));
+                }
+                from = replaced.contains(in.currentName()) ? -1 : start;
+                in.nextToken();
+                in.skipChildren();
+            }
+            require(in.currentToken() == JsonToken.END_OBJECT, "the body is not a JSON object");
+            int end = offset(in);
+            require(isAt(body, end, '}'), "the body has an unusual form");
+            if (from >= 0) {
+                kept.add(new Slice(from, end));
+            }
+            require(in.nextToken() == null, "the body has more than one value");
+        }
+        return kept;
+    }
+
+    private static int offset(JsonParser in) {
+        return (int) in.currentTokenLocation().getByteOffset();
+    }
+
+    /** Offsets are not known for other encodings than UTF-8. */
+    private static boolean isAt(byte[] body, int offset, char expected) {
+        return offset >= 0 && offset < body.length && body[offset] == expected;
+    }
+
+    /** Returns where the separator before a field is. */
+    private static int endBefore(byte[] body, int start, char separator) throws EngineException {
+        int end = start - 1;
+        while (end > 0 && body[end] != separator) {
+            require(Character.isWhitespace(body[end]), "the body has an unusual form");
+            end--;
+        }
+        return end;
+    }
+
+    private static void require(boolean holds, String text) throws EngineException {
+        if (!holds) {
+            throw new EngineException(EngineException.Kind.INVALID, text, null);
+        }
+    }
+}
--- a/endpoint/src/main/java/org/cicadahead/engine/StreamingCall.java
+++ b/endpoint/src/main/java/org/cicadahead/engine/StreamingCall.java
@@ -3,8 +3,8 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
+import org.cicadahead.model.RunId;
 import org.cicadahead.protocol.Usage;
-import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -27,7 +27,8 @@
     private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
     private final EngineClient client;
-    private final EngineRun run;
+    private final RunId run;
+    private final boolean stream;
     private final EngineListener listener;
     private final long deadlineNanos;
     private final EventSplitter splitter = new EventSplitter();
@@ -42,15 +43,14 @@
 
     StreamingCall(EngineClient client, EngineRun run, EngineListener listener) {
         this.client = client;
-        this.run = run;
+        this.run = run.run();
+        this.stream = run.stream();
         this.listener = listener;
         this.deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(run.timeoutMillis());
     }
 
-    void start(byte[] body) {
-        send(client.request("/v1/chat/completions")
-                .method(HttpMethod.POST)
-                .body(new BytesRequestContent("application/json", body)));
+    void start(SplicedBody body) {
+        send(client.request("/v1/chat/completions").method(HttpMethod.POST).body(body));
     }
 
     @Override
@@ -63,7 +63,7 @@
             over = true;
             request = current;
         }
-        client.cancel(run.run());
+        client.cancel(run);
         if (request != null) {
             request.abort(new EngineException(EngineException.Kind.LOST, "cancelled", null));
         }
@@ -79,7 +79,7 @@
             request = current;
         }
         problem = new EngineException(EngineException.Kind.TIMEOUT, text, null);
-        client.cancel(run.run());
+        client.cancel(run);
         if (request != null) {
             request.abort(problem);
         }
@@ -165,7 +165,7 @@
                     EngineException.Kind.NOT_SENT, "the engine is not reachable", result.getFailure()));
         } else if (problem != null) {
             fail(problem);
-        } else if (run.stream()) {
+        } else if (stream) {
             resume(client.translate("the connection was lost", result.getFailure()));
         } else {
             fail(client.translate("the connection was lost", result.getFailure()));
@@ -175,7 +175,7 @@
     /** Asks for the rest of the stream; the engine keeps it for some seconds after a connection is lost. */
     private void resume(EngineException cause) {
         if (cause.kind() == EngineException.Kind.TIMEOUT) {
-            client.cancel(run.run());
+            client.cancel(run);
             fail(cause);
             return;
         }
@@ -188,9 +188,9 @@
         }
         resumes++;
         eventsAtResume = splitter.total();
-        LOG.debugf("endpoint: Resuming the stream of run %s at event %d", run.run(), (Object) eventsAtResume);
+        LOG.debugf("endpoint: Resuming the stream of run %s at event %d", run, (Object) eventsAtResume);
         listener.resumed();
-        String path = "/v1/engine/streams/" + EngineClient.encode(run.run().value());
+        String path = "/v1/engine/streams/" + EngineClient.encode(run.value());
         client.later(
                 () -> send(client.request(path).param("offset", Long.toString(splitter.total()))),
                 RESUME_DELAY_MILLIS * resumes);
--- a/endpoint/src/main/java/org/cicadahead/queue/AdmissionLimit.java
+++ b/endpoint/src/main/java/org/cicadahead/queue/AdmissionLimit.java
@@ -10,9 +10,13 @@
     /** The token interval that 95% of tokens must keep, in microseconds. */
     public static final long TARGET_MICROS = 26_000;
 
-    private static final long WINDOW_MILLIS = 1_000;
+    private static final long WINDOW_MILLIS = 500;
     private static final int MIN_SAMPLES = 20;
     private static final double DECREASE = 0.9;
+    /** Decrease when most tokens are slow, so that a capacity that is set too high is corrected within seconds. */
+    private static final double STEEP_DECREASE = 0.7;
+
+    private static final double SLOW_SHARE_STEEP = 0.5;
     /** Share of slow tokens above which the limit falls; the target allows 5%. */
     private static final double SLOW_SHARE_HIGH = 0.05;
     /** Share of slow tokens below which the limit may rise; the gap to the upper bound prevents oscillation. */
@@ -66,7 +70,8 @@
             if (samples >= MIN_SAMPLES) {
                 double share = slow / (double) samples;
                 if (share > SLOW_SHARE_HIGH) {
-                    limit = Math.max(1, (int) Math.min(limit - 1, limit * DECREASE));
+                    limit = Math.max(1, (int)
+                            Math.min(limit - 1, limit * (share > SLOW_SHARE_STEEP ? STEEP_DECREASE : DECREASE)));
                 } else if (share < SLOW_SHARE_LOW && reached) {
                     limit = Math.min(capacity, limit + 1);
                 }
