Answer the entry at the deadline while control is silent about a claim

Cause: when neither StartClaim nor AbandonClaim was answered, the run kept its place in the queue and the entry waited without limit. Ruled out: saying not run at once, as control may have recorded the claim as started.

Change: the deadline is watched from before the start; the entry then gets outcome_unconfirmed, and the claim is still abandoned later. Tests for this, for solitary runs of suspects and for refused digests.

--- a/endpoint/src/main/java/org/cicadahead/endpoint/ClaimEnd.java
+++ b/endpoint/src/main/java/org/cicadahead/endpoint/ClaimEnd.java
@@ -28,7 +28,6 @@
     /** Records a complete answer and sends it on. */
     void answered(RunTask task, int status, String contentType, Usage usage) {
         Outcome outcome = new Outcome(status, contentType, task.recorded(), endpoint);
-        watchDeadline(task);
         claims.finish(task.request.claim(), task.request.run(), outcome).whenComplete((done, failure) -> {
             if (flow.isOpen(task)) {
                 RunFlow.send(task, outcome.body());
@@ -39,7 +38,6 @@
 
     /** Releases the claim if the service certainly did not get the request, and records an unknown outcome else. */
     void failed(RunTask task, Backend.Failure failure, String text) {
-        watchDeadline(task);
         boolean notRun = failure == Backend.Failure.NOT_SENT || failure == Backend.Failure.MALFORMED;
         if (notRun) {
             claims.abandon(task.request.claim(), task.request.run())
@@ -52,7 +50,8 @@
         }
     }
 
-    private void watchDeadline(RunTask task) {
+    /** Answers the entry at the deadline, also while control is asked whether the claim may start. */
+    void watchDeadline(RunTask task) {
         Delays.schedule(timer, () -> unconfirmed(task), Math.max(0, task.leftMillis()));
     }
 
--- a/endpoint/src/main/java/org/cicadahead/endpoint/RunFlow.java
+++ b/endpoint/src/main/java/org/cicadahead/endpoint/RunFlow.java
@@ -258,6 +258,7 @@
             run(task);
             return;
         }
+        claimEnd().watchDeadline(task);
         wiring.claims()
                 .start(task.request.claim(), task.request.run(), task.leftMillis())
                 .whenComplete((start, failure) -> started(task, failure == null ? start : ClaimFlow.Start.ABANDONED));
--- a/testbed/src/test/java/org/cicadahead/testbed/emulator/EngineEndpointTest.java
+++ b/testbed/src/test/java/org/cicadahead/testbed/emulator/EngineEndpointTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.cicadahead.model.EndpointKind;
 import org.cicadahead.model.EndpointState;
@@ -17,6 +18,8 @@
 import org.cicadahead.model.RefusalReason;
 import org.cicadahead.protocol.ClearSuspects;
 import org.cicadahead.protocol.CrashReport;
+import org.cicadahead.protocol.PoisonEntry;
+import org.cicadahead.protocol.PoisonTable;
 import org.cicadahead.protocol.RunEnd;
 import org.cicadahead.protocol.Sync;
 import org.junit.jupiter.api.AfterEach;
@@ -115,6 +118,27 @@
                 .containsExactly(EndpointHarness.digest("poison"));
     }
 
+    @Test
+    void suspectRunsAloneAndRefusedDigestDoesNotRun() throws Exception {
+        PoisonEntry suspect = new PoisonEntry(EndpointHarness.digest("suspect"), false, Set.of(), Long.MAX_VALUE);
+        PoisonEntry refused = new PoisonEntry(EndpointHarness.digest("refused"), true, Set.of(), Long.MAX_VALUE);
+        harness.control.poison = new PoisonTable(1, List.of(suspect, refused));
+        await(
+                "the table arrives",
+                () -> harness.control.received(Sync.class).stream().anyMatch(sync -> sync.poisonVersion() == 1));
+        RunEnd end = harness.complete(null, "refused", 5).get();
+        assertThat(end.refusal()).isEqualTo(RefusalReason.REQUEST_POISONOUS);
+        assertThat(end.notRun()).isTrue();
+        EndpointHarness.Answer before = harness.complete(null, "before", 300);
+        await("the run streams", () -> before.chunks > 3);
+        EndpointHarness.Answer alone = harness.complete(null, "suspect", 50);
+        assertThat(alone.get().refusal()).isNull();
+        assertWithMessage("the run before had ended").that(before.end.isDone()).isTrue();
+        await(
+                "the suspect is cleared",
+                () -> !harness.control.received(ClearSuspects.class).isEmpty());
+    }
+
     @Test
     void hangingEngineFailsItsRunsAndRecovers() throws Exception {
         EndpointHarness.Answer running = harness.complete(null, "hello", 1_000_000);
--- a/testbed/src/test/java/org/cicadahead/testbed/emulator/ServiceEndpointTest.java
+++ b/testbed/src/test/java/org/cicadahead/testbed/emulator/ServiceEndpointTest.java
@@ -98,6 +98,20 @@
         assertThat(service.journal().entries()).isEmpty();
     }
 
+    @Test
+    void silentControlIsNotTakenForNotRunAndTheClaimIsAbandonedLater() throws Exception {
+        harness.control.silentTypes.add("StartClaim");
+        harness.control.silentTypes.add("AbandonClaim");
+        RunEnd end = harness.run(withDeadline("k1", 300)).get();
+        assertThat(end.refusal()).isEqualTo(RefusalReason.OUTCOME_UNCONFIRMED);
+        assertThat(end.notRun()).isFalse();
+        harness.control.silentTypes.clear();
+        await(
+                "the claim is abandoned",
+                () -> !harness.control.received(AbandonClaim.class).isEmpty());
+        assertThat(service.journal().entries()).isEmpty();
+    }
+
     @Test
     void unreachableServiceReleasesTheClaim() throws Exception {
         service.faults().set(ServiceFault.DELAY_MILLIS, "0");
