Bound the memory of the log and refuse malformed messages between replicas

Ruled out: a limit on the number of waiting proposals, as their size varies by a factor of thousands. Change: kept entries and waiting proposals are limited in bytes, a batch of proposals to 4 MiB; messages check their fields when they are decoded; elections and joins are logged.

--- a/raft/src/main/java/org/cicadahead/raft/Consensus.java
+++ b/raft/src/main/java/org/cicadahead/raft/Consensus.java
@@ -232,13 +232,14 @@
      * Drops entries that an own snapshot covers.
      *
      * @param snapshot what the snapshot covers
-     * @param keep how many of the entries that it covers stay, for followers that are a little behind
+     * @param keep how many of the entries that it covers stay at most, for followers that are a little behind; they
+     *     are also limited to the bytes that may be sent to a follower at once
      * @return the last entry that was dropped
      */
     public SnapshotHead compact(SnapshotHead snapshot, long keep) {
         if (snapshot.index() > state.snapshot.index() && snapshot.index() <= state.emitted) {
             state.snapshot = snapshot;
-            state.log.startAt(headAt(Math.max(state.log.head().index(), snapshot.index() - keep)));
+            state.log.startAt(headAt(state.log.keepFrom(snapshot.index(), keep, state.timing.windowBytes())));
         }
         return state.log.head();
     }
--- a/raft/src/main/java/org/cicadahead/raft/EntryLog.java
+++ b/raft/src/main/java/org/cicadahead/raft/EntryLog.java
@@ -91,6 +91,20 @@
         return entry == null ? Membership.NONE : entry.getValue();
     }
 
+    /** Returns the last entry to drop so that a number of entries and bytes up to an index stays. */
+    long keepFrom(long index, long entryLimit, long byteLimit) {
+        long drop = index;
+        long bytes = 0;
+        while (drop > head.index() && index - drop < entryLimit) {
+            bytes += get(drop).size();
+            if (bytes > byteLimit) {
+                break;
+            }
+            drop--;
+        }
+        return drop;
+    }
+
     /** Drops the entries that a snapshot covers; keeps the later ones if they continue it. */
     void startAt(SnapshotHead next) {
         if (term(next.index()) == next.term()) {
--- a/raft/src/main/java/org/cicadahead/raft/RaftAppend.java
+++ b/raft/src/main/java/org/cicadahead/raft/RaftAppend.java
@@ -1,6 +1,7 @@
 package org.cicadahead.raft;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * Carries entries from the leader, or none as a heartbeat.
@@ -25,8 +26,14 @@
         long sentMillis)
         implements RaftMessage {
 
-    /** Copies the entries. */
+    /**
+     * Checks the fields and copies the entries.
+     *
+     * @throws NullPointerException if the sender or the receiver is null
+     */
     public RaftAppend {
+        Objects.requireNonNull(from, "The sender must not be null");
+        Objects.requireNonNull(to, "The receiver must not be null");
         entries = entries == null ? List.of() : List.copyOf(entries);
     }
 }
--- a/raft/src/main/java/org/cicadahead/raft/RaftAppendReply.java
+++ b/raft/src/main/java/org/cicadahead/raft/RaftAppendReply.java
@@ -1,5 +1,7 @@
 package org.cicadahead.raft;
 
+import java.util.Objects;
+
 /**
  * Answers {@link RaftAppend}.
  *
@@ -11,4 +13,15 @@
  * @param sentMillis repeated from the request
  */
 public record RaftAppendReply(ReplicaId from, ReplicaId to, long term, boolean success, long index, long sentMillis)
-        implements RaftMessage {}
+        implements RaftMessage {
+
+    /**
+     * Checks the fields.
+     *
+     * @throws NullPointerException if the sender or the receiver is null
+     */
+    public RaftAppendReply {
+        Objects.requireNonNull(from, "The sender must not be null");
+        Objects.requireNonNull(to, "The receiver must not be null");
+    }
+}
--- a/raft/src/main/java/org/cicadahead/raft/RaftSnapshot.java
+++ b/raft/src/main/java/org/cicadahead/raft/RaftSnapshot.java
@@ -1,5 +1,7 @@
 package org.cicadahead.raft;
 
+import java.util.Objects;
+
 /**
  * Carries a chunk of a snapshot.
  *
@@ -21,4 +23,17 @@
         byte[] data,
         boolean last,
         long sentMillis)
-        implements RaftMessage {}
+        implements RaftMessage {
+
+    /**
+     * Checks the fields.
+     *
+     * @throws NullPointerException if the sender, the receiver, the head or the data is null
+     */
+    public RaftSnapshot {
+        Objects.requireNonNull(from, "The sender must not be null");
+        Objects.requireNonNull(to, "The receiver must not be null");
+        Objects.requireNonNull(head, "The head must not be null");
+        Objects.requireNonNull(data, "The data must not be null");
+    }
+}
--- a/raft/src/main/java/org/cicadahead/raft/RaftSnapshotReply.java
+++ b/raft/src/main/java/org/cicadahead/raft/RaftSnapshotReply.java
@@ -1,5 +1,7 @@
 package org.cicadahead.raft;
 
+import java.util.Objects;
+
 /**
  * Answers {@link RaftSnapshot}.
  *
@@ -13,4 +15,15 @@
  */
 public record RaftSnapshotReply(
         ReplicaId from, ReplicaId to, long term, long index, long offset, boolean done, long sentMillis)
-        implements RaftMessage {}
+        implements RaftMessage {
+
+    /**
+     * Checks the fields.
+     *
+     * @throws NullPointerException if the sender or the receiver is null
+     */
+    public RaftSnapshotReply {
+        Objects.requireNonNull(from, "The sender must not be null");
+        Objects.requireNonNull(to, "The receiver must not be null");
+    }
+}
--- a/raft/src/main/java/org/cicadahead/raft/RaftTransfer.java
+++ b/raft/src/main/java/org/cicadahead/raft/RaftTransfer.java
@@ -1,5 +1,7 @@
 package org.cicadahead.raft;
 
+import java.util.Objects;
+
 /**
  * Asks a follower to start an election at once.
  *
@@ -7,4 +9,15 @@
  * @param to the follower
  * @param term the term of the leader
  */
-public record RaftTransfer(ReplicaId from, ReplicaId to, long term) implements RaftMessage {}
+public record RaftTransfer(ReplicaId from, ReplicaId to, long term) implements RaftMessage {
+
+    /**
+     * Checks the fields.
+     *
+     * @throws NullPointerException if the sender or the receiver is null
+     */
+    public RaftTransfer {
+        Objects.requireNonNull(from, "The sender must not be null");
+        Objects.requireNonNull(to, "The receiver must not be null");
+    }
+}
--- a/raft/src/main/java/org/cicadahead/raft/RaftVote.java
+++ b/raft/src/main/java/org/cicadahead/raft/RaftVote.java
@@ -1,5 +1,7 @@
 package org.cicadahead.raft;
 
+import java.util.Objects;
+
 /**
  * Asks for a vote.
  *
@@ -13,4 +15,15 @@
  */
 public record RaftVote(
         ReplicaId from, ReplicaId to, long term, long lastIndex, long lastTerm, boolean preVote, boolean transfer)
-        implements RaftMessage {}
+        implements RaftMessage {
+
+    /**
+     * Checks the fields.
+     *
+     * @throws NullPointerException if the sender or the receiver is null
+     */
+    public RaftVote {
+        Objects.requireNonNull(from, "The sender must not be null");
+        Objects.requireNonNull(to, "The receiver must not be null");
+    }
+}
--- a/raft/src/main/java/org/cicadahead/raft/RaftVoteReply.java
+++ b/raft/src/main/java/org/cicadahead/raft/RaftVoteReply.java
@@ -1,5 +1,7 @@
 package org.cicadahead.raft;
 
+import java.util.Objects;
+
 /**
  * Answers {@link RaftVote}.
  *
@@ -10,4 +12,15 @@
  * @param granted whether the vote is granted
  */
 public record RaftVoteReply(ReplicaId from, ReplicaId to, long term, boolean preVote, boolean granted)
-        implements RaftMessage {}
+        implements RaftMessage {
+
+    /**
+     * Checks the fields.
+     *
+     * @throws NullPointerException if the sender or the receiver is null
+     */
+    public RaftVoteReply {
+        Objects.requireNonNull(from, "The sender must not be null");
+        Objects.requireNonNull(to, "The receiver must not be null");
+    }
+}
--- a/raft/src/main/java/org/cicadahead/replication/ConsensusLoop.java
+++ b/raft/src/main/java/org/cicadahead/replication/ConsensusLoop.java
@@ -18,6 +18,7 @@
 import org.cicadahead.raft.Payload;
 import org.cicadahead.raft.RaftMessage;
 import org.cicadahead.raft.ReplicaId;
+import org.jboss.logging.Logger;
 
 /** Feeds consensus with events on one thread and hands its outputs on. */
 final class ConsensusLoop implements Runnable {
@@ -25,6 +26,10 @@
     private static final long TICK_MILLIS = 10;
     /** Messages beyond this backlog are dropped, as consensus recovers from lost messages. */
     private static final int MAX_EVENTS = 20_000;
+    /** Limits the buffer of one write to the log. */
+    private static final long MAX_BATCH_BYTES = 4L * 1024 * 1024;
+
+    private static final Logger LOG = Logger.getLogger("cicadahead.raft");
 
     private final Consensus consensus;
     private final Discovery discovery;
@@ -158,15 +163,23 @@
                 if (member.address().equals(address)) {
                     // The earlier replica at this address is gone with its folder; one that still answers stays.
                     if (consensus.isSilent(member.id(), now)) {
-                        process(consensus.change(MemberChange.REMOVE, member.id(), address, now));
+                        joinStep(MemberChange.REMOVE, member.id(), address, now);
                     }
                     return;
                 }
             }
-            process(consensus.change(MemberChange.ADD, id, address, now));
+            joinStep(MemberChange.ADD, id, address, now);
         });
     }
 
+    private void joinStep(MemberChange change, ReplicaId id, String address, long now) {
+        Output output = consensus.change(change, id, address, now);
+        if (output.refusal() == null) {
+            LOG.infof("raft: A replica with an empty log joins at %s: %s %s", address, change, id);
+        }
+        process(output);
+    }
+
     /** Begins to hand over leadership; the result ends when this replica does not lead any more. */
     CompletableFuture<Void> handOver() {
         CompletableFuture<Void> ended = new CompletableFuture<>();
@@ -183,7 +196,11 @@
 
     void process(Output output) {
         publish();
+        if (!wasLeader && status.role() == Consensus.Role.LEADER) {
+            LOG.infof("raft: This replica leads in term %d", status.term());
+        }
         if (wasLeader && status.role() != Consensus.Role.LEADER) {
+            LOG.infof("raft: This replica does not lead any more, the term is %d", status.term());
             pending.failAll("this replica is not the leader any more");
             endHandOvers();
         }
@@ -223,7 +240,10 @@
 
     private void takeProposals() {
         List<Proposal> batch = new ArrayList<>();
-        for (Proposal next = proposals.poll(); next != null; next = proposals.poll()) {
+        long bytes = 0;
+        while (bytes < MAX_BATCH_BYTES && !proposals.isEmpty()) {
+            Proposal next = proposals.poll();
+            bytes += next.payload.data().length;
             batch.add(next);
         }
         if (batch.isEmpty()) {
--- a/raft/src/main/java/org/cicadahead/replication/Pending.java
+++ b/raft/src/main/java/org/cicadahead/replication/Pending.java
@@ -16,10 +16,6 @@
         proposals.put(entry.index(), new Proposal(entry.term(), answer));
     }
 
-    int size() {
-        return proposals.size();
-    }
-
     /** Answers the proposal at an entry that is applied, if there is one. */
     void applied(LogEntry entry, Message reply) {
         Proposal proposal = proposals.remove(entry.index());
--- a/raft/src/main/java/org/cicadahead/replication/ReplicatedNode.java
+++ b/raft/src/main/java/org/cicadahead/replication/ReplicatedNode.java
@@ -2,13 +2,13 @@
 
 import java.io.Closeable;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cicadahead.protocol.Command;
 import org.cicadahead.protocol.Message;
@@ -51,8 +51,11 @@
     public static final int MAX_COMMAND_BYTES = 12 * 1024 * 1024;
 
     private static final Logger LOG = Logger.getLogger("cicadahead.raft");
-    /** Proposals beyond this number are refused, so that a slow disk does not fill the memory. */
-    private static final int MAX_PENDING = 50_000;
+    /** Proposals beyond this size are refused, so that a slow disk does not fill the memory. */
+    private static final long MAX_WAITING_BYTES = 128L * 1024 * 1024;
+
+    /** An estimate of what a waiting proposal takes besides its data. */
+    private static final int PROPOSAL_BYTES = 512;
 
     private static final long JOIN_MILLIS = 5_000;
 
@@ -65,6 +68,7 @@
     private final ConsensusLoop loop;
     private final Snapshotter snapshotter;
     private final List<Thread> threads = new ArrayList<>();
+    private final AtomicLong waitingBytes = new AtomicLong();
     private final AtomicReference<Exception> failure = new AtomicReference<>();
     private volatile boolean closed;
 
@@ -96,7 +100,7 @@
      * @return the catalogue
      */
     public static MessageCatalog catalog(MessageCatalog base) {
-        Collection<Class<? extends Message>> types = List.of(
+        return base.with(List.of(
                 RaftAppend.class,
                 RaftAppendReply.class,
                 RaftHello.class,
@@ -105,8 +109,7 @@
                 RaftSnapshotReply.class,
                 RaftTransfer.class,
                 RaftVote.class,
-                RaftVoteReply.class);
-        return base.with(types);
+                RaftVoteReply.class));
     }
 
     /**
@@ -180,10 +183,13 @@
         if (!isLeader()) {
             return refused("this replica is not the leader");
         }
-        if (pending.size() >= MAX_PENDING) {
+        long bytes = data.length + PROPOSAL_BYTES;
+        if (waitingBytes.addAndGet(bytes) > MAX_WAITING_BYTES) {
+            waitingBytes.addAndGet(-bytes);
             return refused("too many commands wait");
         }
         CompletableFuture<Message> answer = new CompletableFuture<>();
+        answer.whenComplete((reply, cause) -> waitingBytes.addAndGet(-bytes));
         loop.propose(new Payload(command.getClass().getSimpleName(), data), answer);
         return failIfStopped(answer);
     }
