Test the cache after an engine restart and wait for all runs before a shutdown

Cause: gracefulShutdownFinishesRunsAndRefusesNewOnes failed once on a busy machine: the shutdown began while requests were still on their way, and those were rightly refused as endpoint_leaving, not run. Ruled out: an interrupted run.

Change: the test waits until the daemon reports all 20 runs, and the runs are ten times as long. It still demands that every run completes. A new test covers engine restart together with a cancelled run.

--- a/testbed/src/test/java/org/cicadahead/testbed/emulator/EndpointHarness.java
+++ b/testbed/src/test/java/org/cicadahead/testbed/emulator/EndpointHarness.java
@@ -35,6 +35,8 @@
 import org.cicadahead.protocol.DaemonInfo;
 import org.cicadahead.protocol.Message;
 import org.cicadahead.protocol.MessageCatalog;
+import org.cicadahead.protocol.Ping;
+import org.cicadahead.protocol.Pong;
 import org.cicadahead.protocol.RunChunk;
 import org.cicadahead.protocol.RunEnd;
 import org.cicadahead.protocol.RunRequest;
@@ -177,6 +179,13 @@
         return answer;
     }
 
+    /** Returns how many runs wait or run at the daemon. */
+    int open() {
+        Pong pong =
+                (Pong) entry.call(new Ping(DaemonId.of("entry")), WAIT_MILLIS).join();
+        return pong.load().queued() + pong.load().running();
+    }
+
     /** Returns the content of a stream of events. */
     static String content(String events) throws IOException {
         StringBuilder text = new StringBuilder();
--- a/testbed/src/test/java/org/cicadahead/testbed/emulator/EngineEndpointTest.java
+++ b/testbed/src/test/java/org/cicadahead/testbed/emulator/EngineEndpointTest.java
@@ -177,6 +177,21 @@
         await("the cache is empty", () -> engine.owners().isEmpty());
     }
 
+    @Test
+    void cacheReturnsToZeroAfterAnEngineRestartAndACancelledRun() throws Exception {
+        harness.complete("p1", LONG, 5).get();
+        harness.complete("p2", LONG, 5).get();
+        engine.crash();
+        await("the node is ready again", () -> engine.starts() == 2 && harness.node.isReady());
+        assertThat(harness.complete("p2", LONG, 5).get().refusal()).isNull();
+        EndpointHarness.Answer cancelled = harness.complete("p3", LONG, 1_000_000);
+        await("the run streams", () -> cancelled.chunks > 3);
+        cancelled.call.cancel();
+        harness.control.gone = program -> true;
+        harness.control.ended.addAll(List.of(program("p1"), program("p2"), program("p3")));
+        await("the cache is empty", () -> engine.busy() == 0 && engine.owners().isEmpty());
+    }
+
     @Test
     void restartedDaemonReleasesWhatControlDoesNotKnow() throws Exception {
         harness.complete("gone", LONG, 5).get();
@@ -194,9 +209,9 @@
     void gracefulShutdownFinishesRunsAndRefusesNewOnes() throws Exception {
         List<EndpointHarness.Answer> answers = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
-            answers.add(harness.complete(null, "request " + i, 200));
+            answers.add(harness.complete(null, "request " + i, 2_000));
         }
-        await("the first run streams", () -> answers.get(0).chunks > 3);
+        await("all runs are with the daemon", () -> harness.open() == 20);
         CompletableFuture<Void> shutdown = CompletableFuture.runAsync(() -> harness.node.shutdown(20_000));
         await(
                 "the endpoint announces that it leaves",
@@ -208,7 +223,7 @@
         assertThat(refused.notRun()).isTrue();
         for (int i = 0; i < 20; i++) {
             assertThat(answers.get(i).get().refusal()).isNull();
-            assertThat(content(answers.get(i).body())).isEqualTo(EngineAnswers.content("request " + i, 200));
+            assertThat(content(answers.get(i).body())).isEqualTo(EngineAnswers.content("request " + i, 2_000));
         }
         shutdown.get();
     }
