Wait for the acceptor when a peer server is closed

Cause: tests that restart a replica failed now and then with 'cannot listen' (three times today, on busy machines). The kernel keeps a listening socket until the thread in accept has left its system call; close did not wait for it. Change: close joins the acceptor. After: 2,000 restarts pass.

--- a/core/src/main/java/org/cicadahead/wire/PeerServer.java
+++ b/core/src/main/java/org/cicadahead/wire/PeerServer.java
@@ -31,6 +31,7 @@
     private static final Logger LOG = Logger.getLogger("cicadahead.wire");
     private static final int BACKLOG = 256;
     private static final long CHECK_INTERVAL_MILLIS = 1_000;
+    private static final long CLOSE_LIMIT_MILLIS = 5_000;
 
     private final ServerSocket socket;
     private final MessageCatalog catalog;
@@ -38,6 +39,7 @@
     private final PeerHandler handler;
     private final Set<ServerListener> connections = ConcurrentHashMap.newKeySet();
     private final ScheduledFuture<?> checker;
+    private final Thread acceptor;
 
     private PeerServer(ServerSocket socket, MessageCatalog catalog, Executor workers, PeerHandler handler) {
         this.socket = socket;
@@ -47,6 +49,8 @@
         this.checker = Timers.shared()
                 .scheduleWithFixedDelay(
                         this::dropSilent, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        this.acceptor = new Thread(this::accept, "wire-acceptor-" + socket.getLocalPort());
+        this.acceptor.setDaemon(true);
     }
 
     /**
@@ -72,9 +76,7 @@
             throw new WireException(WireException.Kind.NOT_SENT, "cannot listen on " + address, e);
         }
         PeerServer server = new PeerServer(socket, catalog, workers, handler);
-        Thread acceptor = new Thread(server::accept, "wire-acceptor-" + socket.getLocalPort());
-        acceptor.setDaemon(true);
-        acceptor.start();
+        server.acceptor.start();
         return server;
     }
 
@@ -87,11 +89,12 @@
         return socket.getLocalPort();
     }
 
-    /** Stops listening and closes all connections. */
+    /** Stops listening and closes all connections. Afterwards the port is free. */
     @Override
     public void close() {
         checker.cancel(false);
         closeQuietly(socket);
+        awaitAcceptor();
         for (ServerListener listener : connections) {
             Connection connection = listener.connection;
             if (connection != null) {
@@ -110,6 +113,15 @@
         }
     }
 
+    /** The kernel keeps the port until the acceptor has left its system call, which takes a while on a busy machine. */
+    private void awaitAcceptor() {
+        try {
+            acceptor.join(CLOSE_LIMIT_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void accept() {
         while (!socket.isClosed()) {
             try {
--- a/core/src/test/java/org/cicadahead/wire/PeerServerTest.java
+++ b/core/src/test/java/org/cicadahead/wire/PeerServerTest.java
@@ -26,6 +26,7 @@
 /** Guards against peers that send garbage, and against handlers that fail. */
 class PeerServerTest {
     private static final long SEED = 20261204;
+    private static final int RESTARTS = 2_000;
     private static final int FUZZED_CONNECTIONS = 200;
     private static final Ping PING = new Ping(DaemonId.of("d"));
     private static final Ping BROKEN = new Ping(DaemonId.of("broken"));
@@ -103,6 +104,16 @@
         assertThat(client.call(PING, 5_000).get()).isEqualTo(PONG);
     }
 
+    @Test
+    void portIsFreeAfterTheServerIsClosed() throws Exception {
+        // The acceptor kept the port for a moment after the close, so that a restart sometimes failed to bind.
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), TestPorts.free());
+        for (int i = 0; i < RESTARTS; i++) {
+            PeerServer.start(address, MessageCatalog.standard(), workers, (request, responder) -> {})
+                    .close();
+        }
+    }
+
     private Socket connect() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port());
         socket.setSoTimeout(5_000);
