Check the lease before the read in the linearizability test, log leadership

Cause: historyIsLinearizable failed once under load. The test read the value first and checked the lease after, so that a reader paused in between could read a follower's old value and then find the replica elected. Ruled out: the order in ControlService, which checks the lease first. Change: the test reads as the service does, and the register is read under its lock; control logs the term in which it leads. Conclusion: a fault of the test; the check is as strict as before.

--- a/control/src/main/java/org/cicadahead/control/Leadership.java
+++ b/control/src/main/java/org/cicadahead/control/Leadership.java
@@ -3,12 +3,15 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.cicadahead.replication.ReplicatedLog;
+import org.jboss.logging.Logger;
 
 /**
  * Gives access to the tables of the leader, only while this replica holds the leader lease. Safe for use by several
  * threads.
  */
 final class Leadership {
+    private static final Logger LOG = Logger.getLogger("cicadahead.control");
+
     private final ReplicatedLog log;
     private final LongSupplier clock;
     private LeaderTables tables;
@@ -33,6 +36,7 @@
         }
         if (tables == null || tables.term() != term) {
             tables = new LeaderTables(term, now);
+            LOG.infof("control: Leads in term %d", term);
         }
         return Optional.of(new Term(tables, now));
     }
--- a/raft/src/test/java/org/cicadahead/replication/RegisterMachine.java
+++ b/raft/src/test/java/org/cicadahead/replication/RegisterMachine.java
@@ -76,7 +76,7 @@
         return digest;
     }
 
-    long value() {
+    synchronized long value() {
         return value;
     }
 
--- a/raft/src/test/java/org/cicadahead/replication/ReplicatedNodeFaultTest.java
+++ b/raft/src/test/java/org/cicadahead/replication/ReplicatedNodeFaultTest.java
@@ -191,9 +191,10 @@
                 ReplicatedNode node = replica.node;
                 if (node != null) {
                     long begin = System.nanoTime();
-                    long value = replica.machine.value();
+                    RegisterMachine machine = replica.machine;
+                    // The lease comes first: a value read before a new leader got its lease may be that of a follower.
                     if (node == replica.node && node.holdsLease(ReplicatedNode.monotonicMillis())) {
-                        history.read(value, begin, System.nanoTime());
+                        history.read(machine.value(), begin, System.nanoTime());
                         write(node, history, values.incrementAndGet());
                     }
                 }
