--- a/entry/src/test/java/org/cicadahead/entry/FaultTest.java
+++ b/entry/src/test/java/org/cicadahead/entry/FaultTest.java
@@ -9,6 +9,8 @@
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.cicadahead.model.ClaimKey;
@@ -373,6 +375,29 @@
         assertThat(fences).hasSize(calls);
     }
 
+    @Test
+    void waitingClaimIsRenewedUntilItsRunEnds() throws Exception {
+        // Control lets another attempt take over a claim that is pending for 5 s without a renewal.
+        CountDownLatch renewed = new CountDownLatch(2);
+        fixture.control.fault(BeginClaim.class, (request, responder) -> {
+            renewed.countDown();
+            responder.reply(new ClaimReply(ClaimOutcome.GRANTED, 7, null));
+        });
+        fixture.service.behaviour = (run, responder) -> new Thread(() -> {
+                    try {
+                        renewed.await(10, TimeUnit.SECONDS);
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                    responder.reply(FakeEndpoint.refused(run, RefusalReason.REQUEST_MALFORMED, true));
+                })
+                .start();
+        fixture.book("k-renewed");
+        List<BeginClaim> begun = fixture.control.received(BeginClaim.class);
+        assertThat(begun.size()).isAtLeast(2);
+        assertThat(begun.get(1)).isEqualTo(begun.get(0));
+    }
+
     @Test
     void claimThatControlDoesNotAnswerIsNotSaidToBeNotRun() throws Exception {
         fixture.control.fault(BeginClaim.class, (request, responder) -> {});
