Limit resends after rejections and prove the simulation with mutants

Cause of the message storm: two faults together. Leadership answered each rejection below next - 1 at once, and Progress.rewind never went below the match, so a follower that rejects at the match got the same probe again for each rejection, without limit.

Ruled out: to ignore every rejection below the match. A follower that skips a whole conflicting term may rightly name an index below the match after the message with the entries behind the match was lost; the leader would then probe for ever. The rejection is raised to the match instead, and is answered only if it moves the probe back and does not answer a message from before the latest step back.

--- a/raft/src/main/java/org/cicadahead/raft/Consensus.java
+++ b/raft/src/main/java/org/cicadahead/raft/Consensus.java
@@ -15,13 +15,13 @@
  * {@link #tick(long)} every few milliseconds.
  */
 public final class Consensus {
-    private final ReplicaState state;
+    final ReplicaState state;
+    Leadership leadership;
     private final Follower follower;
     private final Random random;
     private final boolean promotesLearners;
     private final Set<ReplicaId> votes = new HashSet<>();
     private Role role = Role.FOLLOWER;
-    private Leadership leadership;
     private ReplicaId leader;
     private long heardMillis;
     private long electionDue;
--- a/raft/src/main/java/org/cicadahead/raft/Leadership.java
+++ b/raft/src/main/java/org/cicadahead/raft/Leadership.java
@@ -81,8 +81,8 @@
             return;
         }
         if (!reply.success()) {
-            if (reply.index() < peer.next - 1) {
-                peer.rewind(reply.index());
+            // Only a rejection that moves the probe back is answered at once; else the next heartbeat probes again.
+            if (peer.rewind(reply.index(), reply.sentMillis(), nowMillis)) {
                 sendEntries(reply.from(), peer, nowMillis);
             }
             return;
@@ -125,11 +125,16 @@
         if (!next.majority(id -> isHeard(id, nowMillis))) {
             return "a majority of the voters after the change does not answer";
         }
+        appendMembership(next, nowMillis);
+        return null;
+    }
+
+    /** Appends a membership without a check. */
+    void appendMembership(Membership next, long nowMillis) {
         state.append(EntryKind.MEMBERSHIP, 0, null, next);
         updateMembers(nowMillis);
         broadcast(nowMillis);
         renewLease(nowMillis);
-        return null;
     }
 
     /** Begins to hand over; returns why not, or null. */
--- a/raft/src/main/java/org/cicadahead/raft/Progress.java
+++ b/raft/src/main/java/org/cicadahead/raft/Progress.java
@@ -20,6 +20,7 @@
     /** When it was last heard. */
     long heardMillis;
 
+    private long rewoundMillis = Long.MIN_VALUE;
     private final Deque<long[]> inFlight = new ArrayDeque<>();
     private long inFlightBytes;
 
@@ -43,11 +44,24 @@
         }
     }
 
-    void rewind(long index) {
-        next = Math.max(match, Math.min(next - 1, index)) + 1;
+    /**
+     * Goes back to where the logs may match, but never below what is known to match. A follower that skips a whole
+     * conflicting term may name an index below the match.
+     *
+     * @return false if the rejection tells nothing new, as it answers a message from before the latest step back or
+     *     does not lead further back
+     */
+    boolean rewind(long index, long sentMillis, long nowMillis) {
+        long target = Math.max(match, index) + 1;
+        if (target >= next || sentMillis < rewoundMillis) {
+            return false;
+        }
+        next = target;
+        rewoundMillis = nowMillis;
         probing = true;
         inFlight.clear();
         inFlightBytes = 0;
+        return true;
     }
 
     boolean hasRoom(long windowBytes) {
--- /dev/null
+++ b/raft/src/test/java/org/cicadahead/raft/LeadershipTest.java
@@ -0,0 +1,84 @@
+package org.cicadahead.raft;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a leader that answers repeated or late rejections with ever more messages. */
+class LeadershipTest {
+    private static final ReplicaId SELF = ReplicaId.of("0".repeat(32));
+    private static final ReplicaId PEER = ReplicaId.of("1".repeat(32));
+    private static final ReplicaId THIRD = ReplicaId.of("2".repeat(32));
+
+    private final ReplicaState state = new ReplicaState(
+            SELF,
+            Simulation.TIMING,
+            new HardState(1, SELF),
+            new EntryLog(
+                    new SnapshotHead(
+                            0,
+                            0,
+                            0,
+                            new Membership(List.of(
+                                    new Member(SELF, "a", true),
+                                    new Member(PEER, "b", true),
+                                    new Member(THIRD, "c", true)))),
+                    List.of()));
+    private Leadership leadership;
+
+    @BeforeEach
+    void appendFiveEntries() {
+        leadership = new Leadership(state, true, 0);
+        for (int i = 0; i < 4; i++) {
+            state.append(EntryKind.EMPTY, 0, null, null);
+            leadership.broadcast(0);
+        }
+        state.begin();
+    }
+
+    /** A follower whose log lost what it had acknowledged rejects each probe at the match. */
+    @Test
+    void rejectionBelowMatchIsAnsweredOnce() {
+        reply(true, 2, 0);
+        int sent = 0;
+        for (int i = 1; i <= 100; i++) {
+            sent += reply(false, 1, i).size();
+        }
+        assertThat(sent).isEqualTo(1);
+        assertThat(leadership.match(PEER)).isEqualTo(2);
+    }
+
+    /** A follower that skips a conflicting term may name an index below the match; it still needs the lost entries. */
+    @Test
+    void lostEntriesAreSentAgainFromTheMatch() {
+        reply(true, 2, 0);
+        List<RaftMessage> sent = reply(false, 0, 1);
+        assertThat(sent).hasSize(1);
+        assertThat(((RaftAppend) sent.get(0)).prevIndex()).isEqualTo(2);
+    }
+
+    /** Copies of a rejection that arrive after the follower has caught up tell nothing new. */
+    @Test
+    void lateCopiesOfRejectionAreIgnored() {
+        reply(false, 1, 10, 5);
+        reply(true, 2, 11, 10);
+        int sent = 0;
+        for (int i = 12; i < 100; i++) {
+            sent += reply(false, 1, i, 5).size();
+        }
+        assertThat(sent).isEqualTo(0);
+    }
+
+    private List<RaftMessage> reply(boolean success, long index, long nowMillis) {
+        return reply(success, index, nowMillis, nowMillis);
+    }
+
+    private List<RaftMessage> reply(boolean success, long index, long nowMillis, long sentMillis) {
+        state.begin();
+        leadership.replied(new RaftAppendReply(PEER, SELF, 1, success, index, sentMillis), nowMillis);
+        return new ArrayList<>(state.out.send());
+    }
+}
--- /dev/null
+++ b/raft/src/test/java/org/cicadahead/raft/Mutant.java
@@ -0,0 +1,119 @@
+package org.cicadahead.raft;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.function.Predicate;
+
+/** A deliberate fault around an unchanged {@link Consensus}, which the simulation has to detect. */
+enum Mutant {
+    NONE,
+    RESTART_FORGETS_LEADER {
+        @Override
+        long startMillis(long nowMillis) {
+            return nowMillis - Simulation.TIMING.electionMaxMillis();
+        }
+    },
+    VOTE_NOT_REFUSED_NEAR_LEADER {
+        @Override
+        RaftMessage received(RaftMessage message, Consensus consensus) {
+            // The transfer flag of a vote has no other effect than to pass the refusal.
+            return message instanceof RaftVote v && consensus.role() != Consensus.Role.LEADER
+                    ? new RaftVote(v.from(), v.to(), v.term(), v.lastIndex(), v.lastTerm(), v.preVote(), true)
+                    : message;
+        }
+    },
+    OLD_TERM_COMMITTED_BY_COUNT {
+        @Override
+        void stepped(Consensus consensus) {
+            commit(consensus, agreed(consensus, Member::voter));
+        }
+    },
+    TWO_MEMBERSHIP_CHANGES {
+        @Override
+        Output change(Consensus consensus, MemberChange change, ReplicaId id, String address, long nowMillis) {
+            Membership next = change.apply(consensus.membership(), id, address);
+            if (consensus.role() != Consensus.Role.LEADER || next == null || id.equals(consensus.state.self)) {
+                return super.change(consensus, change, id, address, nowMillis);
+            }
+            consensus.state.begin();
+            consensus.leadership.appendMembership(next, nowMillis);
+            return consensus.state.finish();
+        }
+    },
+    ACKNOWLEDGED_BEFORE_SYNC {
+        @Override
+        boolean isSentBeforeSync(RaftMessage message) {
+            return message instanceof RaftAppendReply;
+        }
+    },
+    VOTED_BEFORE_SYNC {
+        @Override
+        boolean isSentBeforeSync(RaftMessage message) {
+            return message instanceof RaftVoteReply;
+        }
+    },
+    LEASE_LONGER_THAN_ELECTION {
+        @Override
+        long leaseUntil(Consensus consensus) {
+            long until = consensus.leaseUntilMillis();
+            return until == Long.MIN_VALUE ? until : until + Simulation.TIMING.electionMaxMillis();
+        }
+    },
+    LEARNER_COUNTED {
+        @Override
+        void stepped(Consensus consensus) {
+            long agreed = agreed(consensus, member -> true);
+            if (consensus.state.log.term(agreed) == consensus.term()) {
+                commit(consensus, agreed);
+            }
+        }
+    },
+    APPLIED_BEFORE_COMMIT {
+        @Override
+        void stepped(Consensus consensus) {
+            commit(consensus, consensus.state.durable);
+        }
+    };
+
+    long startMillis(long nowMillis) {
+        return nowMillis;
+    }
+
+    RaftMessage received(RaftMessage message, Consensus consensus) {
+        return message;
+    }
+
+    void stepped(Consensus consensus) {}
+
+    boolean isSentBeforeSync(RaftMessage message) {
+        return false;
+    }
+
+    long leaseUntil(Consensus consensus) {
+        return consensus.leaseUntilMillis();
+    }
+
+    Output change(Consensus consensus, MemberChange change, ReplicaId id, String address, long nowMillis) {
+        return consensus.change(change, id, address, nowMillis);
+    }
+
+    /** Returns what as many members as are a majority of the voters have, counting some members only. */
+    private static long agreed(Consensus consensus, Predicate<Member> counted) {
+        List<Long> matches = new ArrayList<>();
+        for (Member member : consensus.membership().members()) {
+            if (counted.test(member)) {
+                matches.add(consensus.matchIndex(member.id()));
+            }
+        }
+        matches.sort(Collections.reverseOrder());
+        int quorum = consensus.membership().quorum();
+        return matches.size() < quorum ? 0 : matches.get(quorum - 1);
+    }
+
+    private static void commit(Consensus consensus, long index) {
+        if (consensus.role() == Consensus.Role.LEADER) {
+            consensus.state.commit = Math.max(consensus.state.commit, index);
+        }
+    }
+}
--- /dev/null
+++ b/raft/src/test/java/org/cicadahead/raft/Scenarios.java
@@ -0,0 +1,208 @@
+package org.cicadahead.raft;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+/**
+ * Faults that aim at one rule of the algorithm each, between phases in which a leader leads under load. Random faults
+ * alone seldom meet the short windows in which a broken rule shows.
+ */
+final class Scenarios {
+    private static final int ROUNDS = 6;
+
+    private final Simulation simulation;
+
+    Scenarios(Simulation simulation) {
+        this.simulation = simulation;
+    }
+
+    void run() {
+        simulation.maxDelayMillis = 3 + random(20);
+        simulation.repeatRate = random(10) / 100.0;
+        calm(2_000);
+        for (int round = 0; round < ROUNDS; round++) {
+            if (round == 1 && simulation.replicas.stream().anyMatch(r -> r.consensus.lastIndex() == 0)) {
+                addSpares();
+            }
+            calm(200 + random(800));
+            fault();
+            heal();
+        }
+        simulation.lossRate = 0;
+        calm(4_000);
+    }
+
+    private void fault() {
+        simulation.lossRate = random(3) == 0 ? 0.1 : 0;
+        Simulation.SimReplica leader = simulation.leader();
+        if (leader == null) {
+            return;
+        }
+        switch (random(10)) {
+            case 0 -> restartsWhileOneIsCutOff(leader);
+            case 1 -> partition(leader, false);
+            case 2 -> partition(leader, true);
+            case 3, 8, 9 -> leadersWithFewFollowers();
+            case 4 -> powerLoss(leader);
+            case 5 -> crashAfterVote(leader);
+            case 6 -> {
+                leader.frozenUntil = simulation.now + 300 + random(1_500);
+                calm(2_000);
+            }
+            default -> {
+                simulation.replicas.stream()
+                        .filter(Simulation.SimReplica::usable)
+                        .forEach(r -> r.takeSnapshot(3));
+                leader.process(leader.consensus.transfer(leader.clock()));
+                calm(300);
+            }
+        }
+    }
+
+    /**
+     * One replica does not hear the leader for long enough to ask for votes; then the leader is cut off from all while
+     * its lease still runs, and the others may start anew.
+     */
+    private void restartsWhileOneIsCutOff(Simulation.SimReplica leader) {
+        List<Simulation.SimReplica> others = others(leader);
+        cut(leader, others.get(0), random(4) > 0);
+        // Only without new entries the log of the replica that is cut off is complete enough for a vote.
+        simulation.run(400 + random(1_000));
+        others.forEach(other -> cut(leader, other, true));
+        if (random(2) == 0) {
+            for (Simulation.SimReplica other : others.subList(1, others.size())) {
+                other.crash();
+                other.start();
+            }
+        }
+        load(1_500, 20);
+    }
+
+    /** The leader and one or two other replicas are cut off from the rest; it may try to remove two of the rest. */
+    private void partition(Simulation.SimReplica leader, boolean removes) {
+        List<Simulation.SimReplica> others = others(leader);
+        int near = removes ? 1 : random(others.size());
+        for (Simulation.SimReplica far : others.subList(near, others.size())) {
+            cut(leader, far, true);
+            others.subList(0, near).forEach(other -> cut(other, far, true));
+        }
+        load(random(200), 20);
+        if (removes) {
+            for (Simulation.SimReplica far : others.subList(near, Math.min(near + 2, others.size()))) {
+                simulation.change(leader, MemberChange.REMOVE, far.id);
+            }
+        }
+        load(2_500, 50);
+    }
+
+    /** Leaders fail after a part of the followers got a part of their entries. */
+    private void leadersWithFewFollowers() {
+        for (int i = 0; i < 8; i++) {
+            Simulation.SimReplica leader = awaitLeader();
+            if (leader != null) {
+                List<Simulation.SimReplica> others = others(leader);
+                int near = random(others.size());
+                others.subList(near, others.size()).forEach(far -> cut(leader, far, true));
+                for (int n = 4 + random(12); n > 0; n--) {
+                    simulation.propose();
+                }
+                load(5 + random(60), 10);
+                leader.crash();
+            }
+            simulation.cuts.clear();
+            simulation.replicas.stream().filter(r -> !r.running && r != leader).forEach(r -> r.start());
+        }
+    }
+
+    /** All replicas lose what is not synced; the leader stays down. */
+    private void powerLoss(Simulation.SimReplica leader) {
+        for (int n = 2 + random(8); n > 0; n--) {
+            simulation.propose();
+            simulation.run(1 + random(10));
+        }
+        simulation.replicas.stream().filter(r -> r.running).forEach(Simulation.SimReplica::crash);
+        others(leader).forEach(Simulation.SimReplica::start);
+        load(3_000, 50);
+    }
+
+    /** The leader fails, and all but the next one lose what is not synced as soon as that one is elected. */
+    private void crashAfterVote(Simulation.SimReplica leader) {
+        if (random(2) == 0) {
+            leader.crash();
+        }
+        leader.frozenUntil = simulation.now + 2_000;
+        Simulation.SimReplica next = awaitLeader();
+        if (next != null) {
+            for (Simulation.SimReplica other : others(next)) {
+                cut(next, other, true);
+                if (other.running) {
+                    other.crash();
+                }
+                other.start();
+            }
+            load(3_000, 50);
+        }
+    }
+
+    /** Runs until some replica that is not frozen leads, with or without a lease. */
+    private Simulation.SimReplica awaitLeader() {
+        for (int i = 0; i < 1_500; i++) {
+            simulation.run(2);
+            for (Simulation.SimReplica replica : simulation.replicas) {
+                if (replica.usable() && replica.consensus.role() == Consensus.Role.LEADER) {
+                    return replica;
+                }
+            }
+        }
+        return null;
+    }
+
+    private void addSpares() {
+        for (Simulation.SimReplica replica : simulation.replicas) {
+            Simulation.SimReplica leader = simulation.leader();
+            if (leader != null && leader.consensus.membership().find(replica.id) == null) {
+                simulation.change(leader, MemberChange.ADD, replica.id);
+                calm(500);
+            }
+        }
+    }
+
+    private void heal() {
+        simulation.cuts.clear();
+        simulation.replicas.stream().filter(r -> !r.running).forEach(Simulation.SimReplica::start);
+        simulation.replicas.forEach(r -> r.frozenUntil = Math.min(r.frozenUntil, simulation.now));
+        calm(1_500);
+    }
+
+    private void calm(long millis) {
+        load(millis, 50);
+    }
+
+    private void load(long millis, int interval) {
+        long end = simulation.now + millis;
+        while (simulation.now < end) {
+            simulation.run(Math.min(end - simulation.now, 1 + random(interval)));
+            simulation.propose();
+            simulation.read();
+        }
+    }
+
+    private void cut(Simulation.SimReplica one, Simulation.SimReplica other, boolean both) {
+        simulation.cuts.add(List.of(one.address, other.address));
+        if (both) {
+            simulation.cuts.add(List.of(other.address, one.address));
+        }
+    }
+
+    private List<Simulation.SimReplica> others(Simulation.SimReplica one) {
+        List<Simulation.SimReplica> others = new ArrayList<>(simulation.replicas);
+        others.remove(one);
+        Collections.shuffle(others, simulation.random);
+        return others;
+    }
+
+    private int random(int bound) {
+        return simulation.random.nextInt(bound);
+    }
+}
--- a/raft/src/test/java/org/cicadahead/raft/Simulation.java
+++ b/raft/src/test/java/org/cicadahead/raft/Simulation.java
@@ -25,6 +25,8 @@
     /** Pairs of addresses between which messages are lost, in one direction. */
     final Set<List<Integer>> cuts = new HashSet<>();
 
+    Mutant mutant = Mutant.NONE;
+    boolean promotesLearners = true;
     double lossRate;
     double repeatRate;
     int maxDelayMillis = 30;
@@ -102,7 +104,8 @@
                     at(
                             1 + random.nextInt(maxDelayMillis),
                             target,
-                            () -> target.process(target.consensus.receive(message, target.clock())));
+                            () -> target.process(target.consensus.receive(
+                                    mutant.received(message, target.consensus), target.clock())));
                 }
             }
         }
@@ -131,6 +134,12 @@
         }
     }
 
+    void change(SimReplica leader, MemberChange change, ReplicaId id) {
+        if (leader.usable()) {
+            leader.process(mutant.change(leader.consensus, change, id, "" + now, leader.clock()));
+        }
+    }
+
     SimReplica leader() {
         for (SimReplica replica : replicas) {
             if (replica.usable() && replica.mayRead()) {
@@ -186,7 +195,7 @@
         }
 
         boolean leaseRuns() {
-            return running && clock() < consensus.leaseUntilMillis();
+            return running && clock() < simulation.mutant.leaseUntil(consensus);
         }
 
         boolean mayRead() {
@@ -196,21 +205,34 @@
         void start() {
             incarnation++;
             running = true;
+            matchSnapshot();
             mirror.clear();
             mirror.putAll(disk);
             restore();
             consensus = new Consensus(
                     id,
                     TIMING,
-                    true,
+                    simulation.promotesLearners,
                     hard,
                     head,
                     List.copyOf(disk.tailMap(head.index(), false).values()),
                     simulation.random.nextLong(),
-                    clock());
+                    simulation.mutant.startMillis(clock()));
             simulation.at(0, this, () -> simulation.tick(this));
         }
 
+        /** As in the real store, recovery and not the arrival of a snapshot drops entries that do not continue it. */
+        private void matchSnapshot() {
+            LogEntry same = disk.get(head.index());
+            boolean continues = disk.isEmpty()
+                    || (same == null
+                            ? disk.firstKey() == head.index() + 1
+                            : head.index() == 0 || same.term() == head.term());
+            if (!continues) {
+                disk.clear();
+            }
+        }
+
         /** Stops; of the writes that are not acknowledged a part may be on the disk. */
         void crash() {
             int survive = unsynced.isEmpty() ? 0 : simulation.random.nextInt(unsynced.size() + 1);
@@ -241,6 +263,12 @@
         }
 
         void process(Output output) {
+            List<RaftMessage> early = output.afterSync().stream()
+                    .filter(simulation.mutant::isSentBeforeSync)
+                    .toList();
+            early.forEach(message -> simulation.send(message, address));
+            output.afterSync().removeAll(early);
+            simulation.mutant.stepped(consensus);
             if (output.reset() != null) {
                 mirror.clear();
                 restore();
@@ -359,11 +387,6 @@
                     if (chunk.head().index() > head.index()) {
                         head = chunk.head();
                         snapshot = received.array();
-                        // Recovery keeps the entries after a snapshot only if they continue it.
-                        LogEntry same = disk.get(head.index());
-                        if (same == null || same.term() != head.term()) {
-                            disk.clear();
-                        }
                     }
                     simulation.at(1, this, () -> process(consensus.installed(chunk, clock())));
                     return;
