Show the fleet at a glance and why a step ran where it did

Cause: status printed nested JSON fields without replica lag, and explain showed only the sizes of a step, as nothing recorded its endpoint. Ruled out: a ring of decisions at each entry. It is lost with the entry, and cicadactl would need the health addresses, which status does not have. Change: the entry records the endpoint, the prompt and cached tokens and the endpoints that failed before with the answer of the step in the history; control shows this part of the record and no content. Members carry their match index and lag. status prints a summary and tables; JSON keeps the document of control. New command export prints the configuration as a document that apply takes, and repeats if the revision changes between reads. Steps under way and the scores of endpoints that were not chosen are not recorded.

--- a/control/src/main/java/org/cicadahead/control/GroupMembers.java
+++ b/control/src/main/java/org/cicadahead/control/GroupMembers.java
@@ -29,9 +29,10 @@
     @Override
     public List<MemberView> list() {
         try {
-            return node.members().get(LIST_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).stream()
-                    .map(GroupMembers::view)
-                    .toList();
+            List<MemberStatus> members = node.members().get(LIST_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            long last =
+                    members.stream().mapToLong(MemberStatus::matchIndex).max().orElse(0);
+            return members.stream().map(member -> view(member, last)).toList();
         } catch (ExecutionException | TimeoutException e) {
             LOG.warnf("control: The members are not known: %s", e.getMessage());
             return List.of();
@@ -68,8 +69,14 @@
         });
     }
 
-    private static MemberView view(MemberStatus status) {
-        return new MemberView(status.id().value(), status.address(), status.voter(), status.leader());
+    private static MemberView view(MemberStatus status, long last) {
+        return new MemberView(
+                status.id().value(),
+                status.address(),
+                status.voter(),
+                status.leader(),
+                status.matchIndex(),
+                last - status.matchIndex());
     }
 
     private static CompletableFuture<ReplicaId> parse(String replica) {
--- a/control/src/main/java/org/cicadahead/operator/FleetRequests.java
+++ b/control/src/main/java/org/cicadahead/operator/FleetRequests.java
@@ -1,7 +1,10 @@
 package org.cicadahead.operator;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -20,6 +23,8 @@
     /** How long a change of the members may take, in milliseconds; a new replica first catches up. */
     private static final long MEMBERS_TIMEOUT_MILLIS = 30_000;
 
+    private static final String PLACEMENT = "placement";
+
     private final AdminBackend backend;
 
     FleetRequests(AdminBackend backend) {
@@ -75,14 +80,29 @@
         ObjectNode shown = Codec.json().valueToTree(view);
         ArrayNode steps = shown.putArray("history");
         for (HistoryRecord record : view.history()) {
-            steps.addObject()
+            ObjectNode step = steps.addObject()
                     .put("step", record.step())
                     .put("request_bytes", record.request() == null ? 0 : record.request().length)
                     .put("answer_bytes", record.answer() == null ? 0 : record.answer().length);
+            JsonNode placement = placement(record);
+            if (placement.isObject()) {
+                step.set(PLACEMENT, placement);
+            }
         }
         return shown;
     }
 
+    /** Returns where the entry ran the step; a missing node if the record does not tell. */
+    private static JsonNode placement(HistoryRecord record) {
+        try {
+            return record.answer() == null
+                    ? MissingNode.getInstance()
+                    : Codec.json().readTree(record.answer()).path(PLACEMENT);
+        } catch (IOException e) {
+            return MissingNode.getInstance();
+        }
+    }
+
     private static void await(CompletableFuture<Void> change) throws AdminException {
         try {
             change.get(MEMBERS_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
--- a/ctl/src/main/java/org/cicadahead/ctl/AbstractCommand.java
+++ b/ctl/src/main/java/org/cicadahead/ctl/AbstractCommand.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.function.Function;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -62,13 +63,27 @@
 
     /** Prints a document in the format of the options. */
     final void print(JsonNode document) {
-        spec.commandLine().getOut().print(output.render(document));
-        spec.commandLine().getOut().flush();
+        print(document, output, TextTable::render);
+    }
+
+    /** Prints a document as JSON whatever the options say. */
+    final void printJson(JsonNode document) {
+        print(document, OutputFormat.JSON, TextTable::render);
     }
 
     /** Prints the answer to a read and returns the code of success. */
     final ExitCode show(AdminReply reply, String what) throws CtlException {
-        print(reply.orThrow(what).body());
+        return show(reply, what, TextTable::render);
+    }
+
+    /** Prints the answer to a read, for people as {@code text} renders it, and returns the code of success. */
+    final ExitCode show(AdminReply reply, String what, Function<JsonNode, String> text) throws CtlException {
+        print(reply.orThrow(what).body(), output, text);
         return ExitCode.DONE;
     }
+
+    private void print(JsonNode document, OutputFormat format, Function<JsonNode, String> text) {
+        spec.commandLine().getOut().print(format.render(document, text));
+        spec.commandLine().getOut().flush();
+    }
 }
--- a/ctl/src/main/java/org/cicadahead/ctl/FleetCommands.java
+++ b/ctl/src/main/java/org/cicadahead/ctl/FleetCommands.java
@@ -14,12 +14,12 @@
     private FleetCommands() {}
 
     /** Shows the state of the fleet. */
-    @Command(name = "status", description = "Shows the leader, the daemons, the endpoints and the revisions applied.")
+    @Command(name = "status", description = "Shows the fleet, its revisions, replicas and service at a glance.")
     static final class Status extends AbstractCommand {
 
         @Override
         ExitCode run(AdminClient client) throws CtlException {
-            return show(client.get(Paths.STATUS), "status");
+            return show(client.get(Paths.STATUS), "status", StatusText::render);
         }
     }
 
@@ -38,7 +38,7 @@
     }
 
     /** Shows the state of a program. */
-    @Command(name = "explain", description = "Shows the state, the budget and the steps of a program.")
+    @Command(name = "explain", description = "Shows the state of a program and where and why its steps ran.")
     static final class Explain extends AbstractCommand {
         @Parameters(paramLabel = "ORGANISATION/PROGRAM")
         private String program;
@@ -50,7 +50,7 @@
                 throw CtlException.usage("The program must be ORGANISATION/PROGRAM: " + program, null);
             }
             String path = Paths.program(program.substring(0, slash), program.substring(slash + 1));
-            return show(client.get(path), "program " + program);
+            return show(client.get(path), "program " + program, ExplainText::render);
         }
     }
 
--- a/ctl/src/main/java/org/cicadahead/ctl/KeysCommand.java
+++ b/ctl/src/main/java/org/cicadahead/ctl/KeysCommand.java
@@ -23,7 +23,7 @@
             name = "create",
             description = {
                 "Creates a key and shows it once.",
-                "If the answer with the key was lost, exit code 1 and the digest to revoke."
+                "If the answer with the key was lost, it shows the digest to revoke and ends with exit code 1."
             })
     static final class Create extends AbstractCommand {
         @Parameters(paramLabel = "ORGANISATION")
--- a/ctl/src/main/java/org/cicadahead/ctl/Main.java
+++ b/ctl/src/main/java/org/cicadahead/ctl/Main.java
@@ -21,6 +21,7 @@
             ResourceCommands.Diff.class,
             ResourceCommands.Delete.class,
             KeysCommand.class,
+            ExportCommand.class,
             FleetCommands.Status.class,
             FleetCommands.Drain.class,
             FleetCommands.Members.class,
--- a/ctl/src/main/java/org/cicadahead/ctl/OutputFormat.java
+++ b/ctl/src/main/java/org/cicadahead/ctl/OutputFormat.java
@@ -1,23 +1,24 @@
 package org.cicadahead.ctl;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 
 /** The formats of the output. */
 enum OutputFormat {
     /** Tables and lines for people. */
-    TEXT(TextTable::render),
+    TEXT((node, text) -> text.apply(node)),
     /** JSON as control answers it. */
-    JSON(node -> node.toPrettyString() + "\n");
+    JSON((node, text) -> node.toPrettyString() + "\n");
 
-    private final Function<JsonNode, String> renderer;
+    private final BiFunction<JsonNode, Function<JsonNode, String>, String> renderer;
 
-    OutputFormat(Function<JsonNode, String> renderer) {
+    OutputFormat(BiFunction<JsonNode, Function<JsonNode, String>, String> renderer) {
         this.renderer = renderer;
     }
 
-    /** Returns a document in this format, with a line break at its end. */
-    String render(JsonNode document) {
-        return renderer.apply(document);
+    /** Returns a document in this format, with a line break at its end; people get what {@code text} makes of it. */
+    String render(JsonNode document, Function<JsonNode, String> text) {
+        return renderer.apply(document, text);
     }
 }
--- a/ctl/src/test/java/org/cicadahead/ctl/MainTest.java
+++ b/ctl/src/test/java/org/cicadahead/ctl/MainTest.java
@@ -149,6 +149,25 @@
         assertThat(received).isEmpty();
     }
 
+    /** Guards against an export that cannot be applied, or whose parts are of two revisions. */
+    @Test
+    void exportIsAppliedDocumentOfOneRevision() throws IOException {
+        String items = "{\"revision\":%d,\"items\":[%s]}";
+        String pool = "{\"kind\":\"pool\",\"name\":\"planning\",\"revision\":3,\"body\":" + POOL + "}";
+        answer(200, Map.of(), items.formatted(3, ""));
+        answer(200, Map.of(), items.formatted(4, ""));
+        answer(200, Map.of(), items.formatted(4, ""));
+        answer(200, Map.of(), items.formatted(4, pool));
+        answer(200, Map.of(), items.formatted(4, ""));
+
+        assertThat(run("export")).isEqualTo(0);
+
+        Path file = Files.writeString(folder.resolve("export.json"), out.toString());
+        answer(200, Map.of("ETag", "\"3\""), POOL);
+        assertThat(run("diff", "-f", file.toString())).isEqualTo(0);
+        assertThat(received.get(5).line).isEqualTo("GET /admin/v1/pools/planning");
+    }
+
     /** Guards against a refusal that looks like a success. */
     @Test
     void refusalHasExitCodeOne() {
--- a/entry/src/main/java/org/cicadahead/entry/RecordedAnswer.java
+++ b/entry/src/main/java/org/cicadahead/entry/RecordedAnswer.java
@@ -14,16 +14,25 @@
  * @param status the HTTP status
  * @param contentType the content type
  * @param body the body
+ * @param placement where the request ran, or null
  */
-record RecordedAnswer(boolean chat, int status, String contentType, byte[] body) {
+record RecordedAnswer(boolean chat, int status, String contentType, byte[] body, Placement placement) {
 
     RecordedAnswer {
         contentType = contentType == null || contentType.isEmpty() ? "application/json" : contentType;
     }
 
+    RecordedAnswer(boolean chat, int status, String contentType, byte[] body) {
+        this(chat, status, contentType, body, null);
+    }
+
     static RecordedAnswer of(Outcome outcome, boolean chat) {
         return new RecordedAnswer(
-                chat && isSuccess(outcome.status()), outcome.status(), outcome.contentType(), outcome.body());
+                chat && isSuccess(outcome.status()),
+                outcome.status(),
+                outcome.contentType(),
+                outcome.body(),
+                outcome.endpoint() == null ? null : Placement.of(outcome.endpoint(), null, Map.of()));
     }
 
     static boolean isSuccess(int status) {
@@ -40,6 +49,11 @@
                 body.isTextual() ? body.binaryValue() : Json.write(body));
     }
 
+    /** Returns this answer with where the request ran. */
+    RecordedAnswer placed(Placement where) {
+        return new RecordedAnswer(chat, status, contentType, body, where);
+    }
+
     /** Returns the recorded form: chat completions as JSON, other bodies in base64. */
     byte[] encode() {
         ObjectNode json = Json.object();
@@ -52,6 +66,9 @@
         } else {
             json.set("body", completion);
         }
+        if (placement != null) {
+            json.set("placement", placement.toJson());
+        }
         return Json.write(json);
     }
 
--- a/entry/src/main/java/org/cicadahead/entry/RequestFlow.java
+++ b/entry/src/main/java/org/cicadahead/entry/RequestFlow.java
@@ -118,7 +118,7 @@
         long used = plan.usedTokens(end.usage(), run.answerBytes());
         context.endpoints().report(run.endpoint(), end.load());
         context.endpoints().completed(run.endpoint(), plan.program(), plan.root(), used);
-        finish(used, recorded);
+        finish(used, recorded.placed(Placement.of(run.endpoint(), end.usage(), retries.failed())));
     }
 
     @Override
@@ -308,7 +308,7 @@
             return;
         }
         Optional<PoisonEntry> poison = context.replica().poison(plan.digest());
-        Set<EndpointId> avoided = new HashSet<>(retries.failed());
+        Set<EndpointId> avoided = new HashSet<>(retries.failed().keySet());
         poison.ifPresent(entry -> avoided.addAll(entry.crashed()));
         Optional<Announcement> chosen = context.endpoints().choose(plan.choice(avoided, retries.crashed()));
         PeerClient peer =
--- a/entry/src/main/java/org/cicadahead/entry/RetryPolicy.java
+++ b/entry/src/main/java/org/cicadahead/entry/RetryPolicy.java
@@ -2,6 +2,8 @@
 
 import java.util.EnumSet;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Set;
 import org.cicadahead.model.EndpointId;
 import org.cicadahead.model.RefusalReason;
@@ -30,7 +32,7 @@
             RefusalReason.ANSWER_INCOMPLETE,
             RefusalReason.CONFIGURATION_LEASE_EXPIRED);
 
-    private final Set<EndpointId> failed = new HashSet<>();
+    private final Map<EndpointId, RefusalReason> failed = new LinkedHashMap<>();
     private final Set<EndpointId> crashed = new HashSet<>();
     private int retries;
 
@@ -45,14 +47,15 @@
     }
 
     boolean allows(EndpointRun.Failure failure, EndpointId endpoint) {
-        failed.add(endpoint);
+        failed.put(endpoint, failure.reason());
         if (failure.reason() == RefusalReason.ENDPOINT_FAILED && !failure.notRun()) {
             crashed.add(endpoint);
         }
         return RETRIED.contains(failure.reason()) && crashed.size() < MAX_CRASHES && retries++ < MAX_RETRIES;
     }
 
-    Set<EndpointId> failed() {
+    /** Returns the endpoints that failed, in the order of their first failures, each with its last reason. */
+    Map<EndpointId, RefusalReason> failed() {
         return failed;
     }
 
