Measure the deciding packages in virtual time with ./bench

Change: ./bench runs routing, admission, grants, queue and cache in virtual time against fake engines at the size of both deployments, beside round robin with FIFO on the same seeded arrivals.

--- a/testbed/src/main/java/org/cicadahead/testbed/Main.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/Main.java
@@ -1,5 +1,6 @@
 package org.cicadahead.testbed;
 
+import org.cicadahead.testbed.bench.BenchCommand;
 import org.cicadahead.testbed.capacity.CapacityCommand;
 import org.cicadahead.testbed.emulator.EngineCommand;
 import org.cicadahead.testbed.emulator.ServiceCommand;
@@ -18,7 +19,8 @@
             QuickstartCommand.class,
             ProveCommand.class,
             LoadCommand.class,
-            CapacityCommand.class
+            CapacityCommand.class,
+            BenchCommand.class
         })
 public final class Main {
 
