Send a program that an entry does not know to its home endpoint

Cause: entries decide independently and a program's turns arrive at different entries, so an entry that had not seen a program sent it to the better of two random endpoints, and its prefix was computed again. Ruled out: too small a cache (tokens lost for programs already gone are below 2% of the naive waste). Change: rendezvous hashing of the root program names a home among the usable endpoints; an entry without own knowledge of the program treats the home as having the prompt cached, so that load still moves it elsewhere.

--- a/entry/src/main/java/org/cicadahead/routing/EndpointChooser.java
+++ b/entry/src/main/java/org/cicadahead/routing/EndpointChooser.java
@@ -115,9 +115,11 @@
                 stats -> request.forbidden().contains(stats.announcement().endpoint()));
         List<EndpointStats> fresh = new ArrayList<>(candidates);
         fresh.removeIf(stats -> request.avoided().contains(stats.announcement().endpoint()));
-        List<EndpointStats> finalists = finalists(fresh.isEmpty() ? candidates : fresh, request);
+        List<EndpointStats> usable = fresh.isEmpty() ? candidates : fresh;
+        EndpointStats home = home(usable, request);
+        List<EndpointStats> finalists = finalists(usable, home, request);
         return finalists.stream()
-                .min(Comparator.comparingDouble(stats -> cost(stats, request, nowMillis)))
+                .min(Comparator.comparingDouble(stats -> cost(stats, home, request, nowMillis)))
                 .map(stats -> {
                     stats.sent();
                     return stats.announcement();
@@ -258,12 +260,29 @@
         return left;
     }
 
-    /** Returns those with a cached prefix and two random others. */
-    private List<EndpointStats> finalists(List<EndpointStats> candidates, ChoiceRequest request) {
+    /**
+     * Returns the endpoint to which every entry sends a program of which it knows nothing, chosen by rendezvous hashing
+     * so that entries agree without talking to each other. Null if the request belongs to no program, or if this entry
+     * knows where its cache is.
+     */
+    private EndpointStats home(List<EndpointStats> candidates, ChoiceRequest request) {
+        if (request.program() == null
+                || candidates.stream().anyMatch(stats -> prefixes.holdsProgram(request.program(), id(stats)))) {
+            return null;
+        }
+        String root = (request.root() == null ? request.program() : request.root()).toString();
+        return candidates.stream()
+                .max(Comparator.comparingLong(
+                        stats -> Rendezvous.score(root, id(stats).value())))
+                .orElse(null);
+    }
+
+    /** Returns those with a cached prefix, the home and two random others. */
+    private List<EndpointStats> finalists(List<EndpointStats> candidates, EndpointStats home, ChoiceRequest request) {
         List<EndpointStats> finalists = new ArrayList<>();
         List<EndpointStats> others = new ArrayList<>();
         for (EndpointStats stats : candidates) {
-            (cachedTokens(stats, request) > 0 ? finalists : others).add(stats);
+            (stats == home || cachedTokens(stats, request) > 0 ? finalists : others).add(stats);
         }
         for (int i = 0; i < 2 && !others.isEmpty(); i++) {
             finalists.add(others.remove(random.nextInt(others.size())));
@@ -272,15 +291,20 @@
     }
 
     private long cachedTokens(EndpointStats stats, ChoiceRequest request) {
-        return prefixes.cachedTokens(
-                request.program(), request.root(), stats.announcement().endpoint());
+        return prefixes.cachedTokens(request.program(), request.root(), id(stats));
     }
 
-    private double cost(EndpointStats stats, ChoiceRequest request, long nowMillis) {
+    /** The home is taken to have the whole prompt, as other entries have sent the earlier turns there. */
+    private double cost(EndpointStats stats, EndpointStats home, ChoiceRequest request, long nowMillis) {
         double occupancy = stats.occupancy(nowMillis);
         double wait = Math.max(0, occupancy - 1) * ROUND_MILLIS + occupancy * FULL_BATCH_MILLIS;
-        double recompute = Math.max(0, request.promptTokens() - cachedTokens(stats, request)) * UNCACHED_TOKEN_MILLIS;
+        long cached = stats == home ? request.promptTokens() : cachedTokens(stats, request);
+        double recompute = Math.max(0, request.promptTokens() - cached) * UNCACHED_TOKEN_MILLIS;
         double distance = zone != null && zone.equals(stats.announcement().zone()) ? 0 : REMOTE_ZONE_MILLIS;
         return wait + recompute + distance;
     }
+
+    private static EndpointId id(EndpointStats stats) {
+        return stats.announcement().endpoint();
+    }
 }
--- a/testbed/src/main/java/org/cicadahead/testbed/bench/Clock.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/bench/Clock.java
@@ -12,6 +12,10 @@
     private long micros;
     private long number;
 
+    Clock(long micros) {
+        this.micros = micros;
+    }
+
     private record Event(long micros, long number, Runnable action) {}
 
     long micros() {
--- a/testbed/src/main/java/org/cicadahead/testbed/bench/ExactBucket.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/bench/ExactBucket.java
@@ -30,4 +30,9 @@
         atMicros = nowMicros;
         return level >= 1 - ROUNDING;
     }
+
+    /** Returns which part of the burst it held at the last call. */
+    double share() {
+        return level / burst;
+    }
 }
--- a/testbed/src/main/java/org/cicadahead/testbed/bench/Results.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/bench/Results.java
@@ -24,7 +24,9 @@
 
     final List<Finished> finished = new ArrayList<>();
     final double[] servedTokens = new double[Deployment.SHARES.length];
-    final long[] refusedOverRate = new long[Deployment.SHARES.length];
+    final long[] admitted = new long[Deployment.SHARES.length];
+    long refusedOverRate;
+    long refusedWhileHeld;
     long requests;
     long promptTokens;
     long recomputedTokens;
@@ -33,6 +35,7 @@
     long wrongful;
     long overAdmitted;
     long abandoned;
+    double levelAtRefusal;
     int unfinished;
 
     long wasted() {
--- a/testbed/src/main/java/org/cicadahead/testbed/bench/SeedRun.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/bench/SeedRun.java
@@ -19,6 +19,7 @@
     /** The burst is the requests of this time at the rate. */
     private static final double BURST_SECONDS = 10;
 
+    private static final double MICROS_PER_SECOND = 1e6;
     private static final double OFFENCE = 5;
     private static final double MEDIAN = 50;
     private static final double P95 = 95;
@@ -63,11 +64,7 @@
         values.put("chosen_wasted_for_gone_tokens", (double) chosen.wastedForGone);
         values.put("chosen_recomputed_tokens", (double) chosen.recomputedTokens);
         values.put("naive_recomputed_tokens", (double) naive.recomputedTokens);
-        long over = 0;
-        for (long refused : chosen.refusedOverRate) {
-            over += refused;
-        }
-        values.put("refused_over_rate", (double) over);
+        values.put("refused_over_rate", (double) chosen.refusedOverRate);
     }
 
     private void offender() {
@@ -88,6 +85,12 @@
         values.put("offender_worst_service", service);
         values.put("offender_worst_p95_ratio", slowest);
         values.put("offender_wrongful_refusals", (double) with.wrongful + without.wrongful);
+        Organisation offender = organisations.get(OFFENDER);
+        double allowed = offender.ratePerSecond() * more.lengthMicros() / MICROS_PER_SECOND + offender.burst();
+        values.put("offender_admitted_of_allowed", with.admitted[OFFENDER] / allowed);
+        values.put("offender_refused_over_rate", (double) with.refusedOverRate);
+        values.put("offender_refused_while_tokens_held", (double) with.refusedWhileHeld);
+        values.put("offender_bucket_level_at_refusal", with.levelAtRefusal / Math.max(1, with.refusedOverRate));
         values.put("offender_over_admission", (double) with.overAdmitted + without.overAdmitted);
     }
 
--- a/testbed/src/main/java/org/cicadahead/testbed/bench/Simulation.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/bench/Simulation.java
@@ -39,13 +39,16 @@
     /** No organisation exceeds its rate on purpose. */
     static final int NO_OFFENDER = -1;
 
+    /** The leader began this long before the first program, as a new leader starts with empty buckets. */
+    private static final long BEFORE_MICROS = 15_000_000;
+
     private static final int MAX_ATTEMPTS = 4;
     private static final int MAX_REFUSALS = 5;
     private static final int ENTRIES_PER_ZONE = 1;
     /** The time after the last start in which programs may still end. */
     private static final long DRAIN_MICROS = 3_600_000_000L;
 
-    private final Clock clock = new Clock();
+    private final Clock clock = new Clock(BEFORE_MICROS);
     private final Results results = new Results();
     private final Workload workload;
     private final Deployment deployment;
@@ -55,6 +58,9 @@
     private final List<SimEntry> entries = new ArrayList<>();
     private final List<Organisation> organisations;
     private final List<ExactBucket> exact = new ArrayList<>();
+    /** Every offered request takes from these, so that one below zero belongs to an organisation over its rate. */
+    private final List<ExactBucket> offered = new ArrayList<>();
+
     private final RateBuckets buckets = RateBuckets.create(1, 0);
     private final List<ProgramKey> ended = new ArrayList<>();
     private int offender = NO_OFFENDER;
@@ -68,6 +74,7 @@
         this.organisations = organisations;
         this.random = new Random(seed);
         for (Organisation organisation : organisations) {
+            offered.add(new ExactBucket(organisation.ratePerSecond(), organisation.burst()));
             exact.add(new ExactBucket(organisation.ratePerSecond(), organisation.burst()));
         }
         for (int i = 0; i < deployment.engines; i++) {
@@ -124,14 +131,14 @@
             clock.after(spec.startMicros(), () -> {
                 SimProgram program = new SimProgram(spec, null, List.of(), () -> {
                     results.finished.add(new Results.Finished(
-                            spec.organisation(), spec.startMicros(), clock.micros(), spec.perfectMicros()));
+                            spec.organisation(), spec.startMicros(), elapsed(), spec.perfectMicros()));
                     open--;
                 });
                 next(program);
             });
         }
         long limit = workload.lengthMicros() + DRAIN_MICROS;
-        while (open > 0 && clock.micros() < limit) {
+        while (open > 0 && elapsed() < limit) {
             clock.step();
         }
         results.unfinished = open;
@@ -190,20 +197,23 @@
 
     private void admit(SimEntry entry, SimProgram program) {
         int number = program.spec.organisation();
+        boolean within = offered.get(number).take(clock.micros());
         entry.admit(organisations.get(number), decision -> {
             if (decision.isEmpty() || decision.get().refusal().isEmpty()) {
+                results.admitted[number] += elapsed() <= workload.lengthMicros() ? 1 : 0;
                 if (!exact.get(number).take(clock.micros())) {
                     results.overAdmitted++;
                 }
                 send(entry, program, program.request(), new HashSet<>());
                 return;
             }
-            boolean held = exact.get(number).holds(clock.micros());
             boolean limited = decision.get().refusal().get() == RefusalReason.RATE_LIMITED;
-            if (held || !limited) {
+            if (within || !limited) {
                 results.wrongful++;
             } else {
-                results.refusedOverRate[number]++;
+                results.refusedOverRate++;
+                results.refusedWhileHeld += exact.get(number).holds(clock.micros()) ? 1 : 0;
+                results.levelAtRefusal += exact.get(number).share();
             }
             refused(program, Math.max(1, decision.get().retryAfterMillis()) * 1_000);
         });
@@ -274,7 +284,7 @@
         entry.chooser.completed(endpoint.id, request.key(), request.root(), context);
         entry.chooser.report(endpoint.id, endpoint.load(), now);
         results.requests++;
-        if (clock.micros() <= workload.lengthMicros()) {
+        if (elapsed() <= workload.lengthMicros()) {
             results.servedTokens[program.spec.organisation()] +=
                     request.turn().outputTokens() + request.turn().newTokens();
         }
@@ -350,6 +360,10 @@
                 lost, Math.max(0, request.promptTokens() - request.turn().newTokens() - best));
     }
 
+    private long elapsed() {
+        return clock.micros() - BEFORE_MICROS;
+    }
+
     private long hop(int from, int to) {
         return from == to ? 100 : deployment.zoneMicros;
     }
