--- a/raft/src/main/java/org/cicadahead/storage/LogStore.java
+++ b/raft/src/main/java/org/cicadahead/storage/LogStore.java
@@ -327,6 +327,8 @@
         if (last < stored.syncedIndex() && head.index() < stored.syncedIndex()) {
             throw corrupt("the log ends at entry " + last + " but entry " + stored.syncedIndex() + " had been synced");
         }
+        // A killed process may have left records that were written and not synced; consensus takes all as durable.
+        segments.getLast().sync();
         syncedIndex = last;
         markedIndex = stored.syncedIndex();
         match(head, entries);
