Find keys that a body writes with escapes

Ruled out: parsing bodies as JSON, as a service's body may be of any type, and URLDecoder, as one malformed escape elsewhere would end the search.

Change: path and body are searched again with %XX and JSON escapes decoded; malformed escapes are kept as they are. Three rows in the table of places, and a search for the end of the key, which an encoded prefix does not change.

--- a/entry/src/main/java/org/cicadahead/entry/KeyScanner.java
+++ b/entry/src/main/java/org/cicadahead/entry/KeyScanner.java
@@ -1,6 +1,5 @@
 package org.cicadahead.entry;
 
-import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import org.cicadahead.caller.KeyDigests;
 
@@ -14,10 +13,12 @@
 
     /** Returns whether the path, a header or the body holds a key that is valid for any organisation. */
     static boolean holdsKey(Work.Call call, ConfigurationReplica replica) {
+        String body = new String(call.body(), StandardCharsets.ISO_8859_1);
         return holdsKey(call.path(), replica)
                 || holdsKey(decoded(call.path()), replica)
                 || call.headers().values().stream().anyMatch(value -> holdsKey(value, replica))
-                || holdsKey(new String(call.body(), StandardCharsets.ISO_8859_1), replica);
+                || holdsKey(body, replica)
+                || holdsKey(decoded(body), replica);
     }
 
     private static boolean holdsKey(String text, ConfigurationReplica replica) {
@@ -33,11 +34,38 @@
         return false;
     }
 
-    private static String decoded(String path) {
-        try {
-            return URLDecoder.decode(path, StandardCharsets.ISO_8859_1);
-        } catch (IllegalArgumentException e) {
-            return path;
+    /**
+     * Decodes {@code %XX} and the JSON escape of four hexadecimal digits, and keeps all else, as the endpoint that
+     * decodes the text would see the key. A malformed escape elsewhere in the text must not stop the search.
+     */
+    private static String decoded(String text) {
+        if (text.indexOf('%') < 0 && !text.contains("\\u")) {
+            return text;
         }
+        StringBuilder decoded = new StringBuilder(text.length());
+        int at = 0;
+        while (at < text.length()) {
+            int prefix = text.charAt(at) == '%' ? 1 : text.startsWith("\\u", at) ? 2 : 0;
+            int code = prefix == 0 ? -1 : hexadecimal(text, at + prefix, prefix == 1 ? 2 : 4);
+            decoded.append(code < 0 ? text.charAt(at) : (char) code);
+            at += code < 0 ? 1 : prefix == 1 ? 3 : 6;
+        }
+        return decoded.toString();
+    }
+
+    /** Returns the value of some hexadecimal digits, or -1 if there are others. */
+    private static int hexadecimal(String text, int from, int count) {
+        if (from + count > text.length()) {
+            return -1;
+        }
+        int value = 0;
+        for (int at = from; at < from + count; at++) {
+            int digit = Character.digit(text.charAt(at), 16);
+            if (digit < 0) {
+                return -1;
+            }
+            value = value * 16 + digit;
+        }
+        return value;
     }
 }
--- a/entry/src/test/java/org/cicadahead/entry/CallerApiTest.java
+++ b/entry/src/test/java/org/cicadahead/entry/CallerApiTest.java
@@ -31,6 +31,9 @@
     private static final String CHAT = Fixture.chat("plan", false, "Hi");
     private static final String AUTH = "Authorization: Bearer " + Fixture.KEY + "\r\n";
     private static final String POST = "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nConnection: close\r\n";
+    /** The end of a key that no encoding of its first characters changes. */
+    private static final int SECRET_TAIL = 40;
+
     private Fixture fixture;
 
     @BeforeEach
@@ -126,11 +129,19 @@
                 post("/v1/services/book/x/" + key),
                 "POST /v1/services/book/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nIdempotency-Key: 1\r\n" + AUTH
                         + body("x=" + key),
+                serviceCall("{\"x\":\"" + escaped + "\"}"),
+                serviceCall("{\"x\":\"" + key.replace("_", "\\u005F") + "\",\"y\":\"100%\"}"),
+                serviceCall("x=100%&y=%63k" + key.substring(2)),
                 POST + AUTH + "Trailer: Authorization\r\nTransfer-Encoding: chunked\r\n\r\n"
                         + Integer.toHexString(CHAT.length()) + "\r\n" + CHAT + "\r\n0\r\nAuthorization: Bearer " + key
                         + "\r\n\r\n");
     }
 
+    private static String serviceCall(String body) {
+        return "POST /v1/services/book/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nIdempotency-Key: 1\r\n" + AUTH
+                + body(body);
+    }
+
     @ParameterizedTest
     @MethodSource("keyPlaces")
     void noEndpointSeesAKeyWhereverTheCallerPutsIt(String request) throws Exception {
@@ -140,6 +151,9 @@
             for (RunRequest run : endpoint.runs) {
                 String fields = new String(Codec.pack(run), StandardCharsets.ISO_8859_1);
                 assertThat(fields).doesNotContain(Fixture.KEY);
+                assertWithMessage("an encoded prefix hides no key")
+                        .that(fields)
+                        .doesNotContain(Fixture.KEY.substring(Fixture.KEY.length() - SECRET_TAIL));
             }
         }
         assertWithMessage("the answer tells no key").that(answer).doesNotContain(Fixture.KEY);
