--- a/control/src/main/java/org/cicadahead/control/EndpointTable.java
+++ b/control/src/main/java/org/cicadahead/control/EndpointTable.java
@@ -2,12 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import org.cicadahead.model.EndpointId;
 import org.cicadahead.protocol.Announcement;
@@ -29,7 +27,9 @@
     private final Map<EndpointId, Row> rows = new TreeMap<>();
     private final TreeMap<Long, EndpointId> removals = new TreeMap<>();
     private final Map<EndpointId, Long> removedMillis = new HashMap<>();
-    private final Set<EndpointId> draining = new HashSet<>();
+    /** The generation of the daemon that was asked to drain; a later generation is not. */
+    private final Map<EndpointId, Long> draining = new HashMap<>();
+
     private final long epoch;
     private final long beganMillis;
     private long advancedMillis;
@@ -55,10 +55,7 @@
         if (before != null && before.announcement.generation() > announcement.generation()) {
             return false;
         }
-        boolean restarted = before != null && before.announcement.generation() < announcement.generation();
-        if (restarted) {
-            draining.remove(id);
-        }
+        draining.computeIfPresent(id, (key, drained) -> drained < announcement.generation() ? null : drained);
         if (before != null && before.announcement.equals(announcement)) {
             before.heardMillis = nowMillis;
             before.load = load;
@@ -68,7 +65,7 @@
             removals.values().remove(id);
             removedMillis.remove(id);
         }
-        return draining.contains(id);
+        return draining.containsKey(id);
     }
 
     /** Removes endpoints that have been silent. */
@@ -125,10 +122,11 @@
 
     /** Asks the daemon of an endpoint to drain, until it restarts. */
     boolean drain(EndpointId endpoint) {
-        if (!rows.containsKey(endpoint)) {
+        Row row = rows.get(endpoint);
+        if (row == null) {
             return false;
         }
-        draining.add(endpoint);
+        draining.put(endpoint, row.announcement.generation());
         return true;
     }
 
@@ -147,7 +145,7 @@
 
     List<LiveEndpoint> list() {
         return rows.values().stream()
-                .map(r -> new LiveEndpoint(r.announcement, r.load, draining.contains(r.announcement.endpoint())))
+                .map(r -> new LiveEndpoint(r.announcement, r.load, draining.containsKey(r.announcement.endpoint())))
                 .toList();
     }
 
--- a/control/src/test/java/org/cicadahead/control/EndpointTableTest.java
+++ b/control/src/test/java/org/cicadahead/control/EndpointTableTest.java
@@ -67,6 +67,20 @@
                 .isFalse();
     }
 
+    @Test
+    void drainEndsWithTheNextGenerationAlsoAfterAnAbsence() {
+        // A daemon that was out of the table before it came back used to be told to drain for ever.
+        EndpointTable table = settled();
+        table.announce(10_100, Samples.endpoint("e1", 5, EndpointState.READY), null);
+        table.drain(Samples.E1);
+        advance(table, 10_100, 13_000);
+        assertThat(table.generation(Samples.E1)).isEmpty();
+        assertThat(table.announce(13_100, Samples.endpoint("e1", 5, EndpointState.READY), null))
+                .isTrue();
+        assertThat(table.announce(13_200, Samples.endpoint("e1", 6, EndpointState.READY), null))
+                .isFalse();
+    }
+
     @Test
     void frozenLeaderDoesNotRemoveEndpointsItCouldNotHear() {
         EndpointTable table = settled();
--- a/endpoint/src/test/java/org/cicadahead/cache/CacheLedgerTest.java
+++ b/endpoint/src/test/java/org/cicadahead/cache/CacheLedgerTest.java
@@ -146,11 +146,11 @@
             CacheLedger tested, Map<ProgramKey, Long> engine, Set<ProgramKey> running, Random random, long now) {
         for (ProgramKey program : tested.due(now)) {
             assertWithMessage("running programs are not released").that(running).doesNotContain(program);
-            int fate = random.nextInt(3);
-            if (fate > 0) {
+            int delivery = random.nextInt(3);
+            if (delivery > 0) {
                 engine.remove(program);
             }
-            if (fate > 1) {
+            if (delivery > 1) {
                 tested.released(program);
             }
         }
--- a/endpoint/src/test/java/org/cicadahead/endpoint/ClaimFaultTest.java
+++ b/endpoint/src/test/java/org/cicadahead/endpoint/ClaimFaultTest.java
@@ -16,7 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.cicadahead.crash.CrashAttribution;
-import org.cicadahead.endpoint.ModelControl.Fate;
+import org.cicadahead.endpoint.ModelControl.Delivery;
 import org.cicadahead.endpoint.ModelControl.State;
 import org.cicadahead.model.ClaimKey;
 import org.cicadahead.model.DaemonId;
@@ -83,14 +83,15 @@
         FINISHING
     }
 
-    private record Case(Fate start, Service service, Fate record, Cancel cancel) {}
+    private record Case(Delivery start, Service service, Delivery record, Cancel cancel) {}
 
     @Test
     void everyCombinationKeepsTheClaimTrue() {
         List<Case> cases = new ArrayList<>();
-        for (Fate start : Fate.values()) {
+        for (Delivery start : Delivery.values()) {
             for (Service service : Service.values()) {
-                for (Fate record : List.of(Fate.ANSWERED, Fate.REQUEST_LOST, Fate.ANSWER_LOST, Fate.REQUEST_LATE)) {
+                for (Delivery record : List.of(
+                        Delivery.ANSWERED, Delivery.REQUEST_LOST, Delivery.ANSWER_LOST, Delivery.REQUEST_LATE)) {
                     Stream.of(Cancel.values()).forEach(cancel -> cases.add(new Case(start, service, record, cancel)));
                 }
             }
@@ -133,7 +134,7 @@
             assertWithMessage("%s: state", text).that(state).isEqualTo(expected);
         } else {
             // A start that was never sent may leave the claim pending, which the entry releases.
-            boolean pendingAllowed = test.start() == Fate.NOT_SENT;
+            boolean pendingAllowed = test.start() == Delivery.NOT_SENT;
             assertWithMessage("%s: state", text)
                     .that(state == State.RELEASED || pendingAllowed && state == State.PENDING)
                     .isTrue();
--- a/endpoint/src/test/java/org/cicadahead/endpoint/ModelControl.java
+++ b/endpoint/src/test/java/org/cicadahead/endpoint/ModelControl.java
@@ -15,7 +15,7 @@
 
 /** Control with one claim, whose answers arrive, are lost, are late or are refused as a test says. */
 final class ModelControl implements ControlPort {
-    private final Deque<Fate> fates = new ArrayDeque<>();
+    private final Deque<Delivery> deliveries = new ArrayDeque<>();
     private final List<Runnable> pending = new ArrayList<>();
     private final List<Message> late = new ArrayList<>();
     State state = State.PENDING;
@@ -32,7 +32,7 @@
     }
 
     /** What becomes of a request and its answer. */
-    enum Fate {
+    enum Delivery {
         ANSWERED,
         REQUEST_LOST,
         ANSWER_LOST,
@@ -51,8 +51,8 @@
         }
     }
 
-    void next(Fate fate) {
-        fates.add(fate);
+    void next(Delivery delivery) {
+        deliveries.add(delivery);
     }
 
     @Override
@@ -74,18 +74,19 @@
     }
 
     private <R extends Message> void deliver(Message request, Class<R> type, CompletableFuture<R> answer) {
-        Fate fate = fates.isEmpty() ? Fate.ANSWERED : fates.poll();
-        if (fate == Fate.TAKEN_OVER && state == State.PENDING) {
+        Delivery delivery = deliveries.isEmpty() ? Delivery.ANSWERED : deliveries.poll();
+        if (delivery == Delivery.TAKEN_OVER && state == State.PENDING) {
             state = State.RELEASED;
         }
-        Done done = fate.applies() ? apply(request) : null;
-        if (fate == Fate.REQUEST_LATE) {
+        Done done = delivery.applies() ? apply(request) : null;
+        if (delivery == Delivery.REQUEST_LATE) {
             late.add(request);
         }
-        if (fate.answers()) {
+        if (delivery.answers()) {
             answer.complete(type.cast(done));
         } else {
-            WireException.Kind kind = fate == Fate.NOT_SENT ? WireException.Kind.NOT_SENT : WireException.Kind.TIMEOUT;
+            WireException.Kind kind =
+                    delivery == Delivery.NOT_SENT ? WireException.Kind.NOT_SENT : WireException.Kind.TIMEOUT;
             answer.completeExceptionally(new WireException(kind, "lost by the test"));
         }
     }
--- a/testbed/src/main/java/org/cicadahead/testbed/prove/EntryCases.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/prove/EntryCases.java
@@ -42,7 +42,9 @@
         return List.of(
                 FaultCase.quick("kill-entry", "kill -9 of an entry breaks no program", EntryCases::kill),
                 FaultCase.quick(
-                        "freeze-entry", "an entry frozen past its leases obeys a revocation after", EntryCases::freeze),
+                        "freeze-entry",
+                        "an entry frozen past its leases applies a revocation afterwards",
+                        EntryCases::freeze),
                 FaultCase.linked(
                         "partition-entry",
                         "a revoked key stops working within 3 s at a partitioned entry",
