Keep a drain over a change of the leader, test the truth of a refused resume

There is no call to undo a drain. Ruled out: replicating the drain, which the daemon's own memory makes unnecessary. Change: a daemon that was asked to drain does so until it restarts.

--- a/endpoint/src/main/java/org/cicadahead/endpoint/EndpointNode.java
+++ b/endpoint/src/main/java/org/cicadahead/endpoint/EndpointNode.java
@@ -299,7 +299,8 @@
 
         @Override
         public void draining(boolean asked) {
-            draining = asked;
+            // A new leader does not know of the drain, so that only a restart of the daemon ends it.
+            draining = draining || asked;
         }
     }
 
--- a/entry/src/main/java/org/cicadahead/entry/RunLedger.java
+++ b/entry/src/main/java/org/cicadahead/entry/RunLedger.java
@@ -14,8 +14,8 @@
  *       endpoint reports that it did not and will not run it;
  *   <li>a cancelled run: may have run, as the request may have arrived before the cancellation;
  *   <li>after an attempt whose outcome is not known, a later attempt that did not run changes nothing: may have run;
- *   <li>claimed and sent, outcome not known: not run once {@code ReleaseClaim} is committed, as the claim then was never
- *       started and cannot start under its fencing token; else not known.
+ *   <li>claimed and sent, outcome not known: not run once {@code ReleaseClaim} is committed, as the claim then was
+ *       never started and cannot start under its fencing token; else not known.
  * </ul>
  *
  * <p>Not safe for use by several threads.
--- a/testbed/src/test/java/org/cicadahead/testbed/emulator/EngineEndpointTest.java
+++ b/testbed/src/test/java/org/cicadahead/testbed/emulator/EngineEndpointTest.java
@@ -104,6 +104,17 @@
                         .anyMatch(clear -> clear.digests().contains(EndpointHarness.digest("one"))));
     }
 
+    /** The refused connection of the resume must not be taken for a request that was never sent. */
+    @Test
+    void engineThatStopsListeningInMidStreamMayHaveRun() throws Exception {
+        EndpointHarness.Answer answer = harness.complete(null, "gone", 100_000);
+        await("the run has begun", () -> engine.busy() > 0);
+        engine.close();
+        RunEnd end = answer.get();
+        assertThat(end.refusal()).isEqualTo(RefusalReason.ENDPOINT_FAILED);
+        assertThat(end.notRun()).isFalse();
+    }
+
     @Test
     void soleRequestThatCrashesTheEngineIsReportedAlone() throws Exception {
         engine.faults().set(EngineFault.CRASH_MARKER, "poison");
@@ -228,6 +239,18 @@
         shutdown.get();
     }
 
+    /** A new leader answers without the drain, as the leader keeps it in memory. */
+    @Test
+    void drainOutlastsAChangeOfTheLeader() throws Exception {
+        harness.control.draining.set(true);
+        await("the drain is announced", this::announcesLeaving);
+        harness.control.draining.set(false);
+        int syncs = harness.control.received(Sync.class).size();
+        await("more heartbeats", () -> harness.control.received(Sync.class).size() >= syncs + 2);
+        assertThat(announcesLeaving()).isTrue();
+        assertThat(harness.complete(null, "late", 5).get().refusal()).isEqualTo(RefusalReason.ENDPOINT_LEAVING);
+    }
+
     @Test
     void engineThatIsNotReachableMeansNotRun() throws Exception {
         engine.close();
@@ -236,6 +259,12 @@
         assertThat(end.notRun()).isTrue();
     }
 
+    private boolean announcesLeaving() {
+        List<Sync> syncs = harness.control.received(Sync.class);
+        Sync last = syncs.get(syncs.size() - 1);
+        return last.announcement() != null && last.announcement().state() == EndpointState.LEAVING;
+    }
+
     private static ProgramKey program(String id) {
         return ProgramKey.of(OrganisationId.of("open"), ProgramId.of(id));
     }
