Let a pending claim be taken over after 3 s instead of 5

Ruled out: a second run (no call ran twice), and a claim stuck in STARTED (the same key is served once the lease has ended). Change: the lease is 3 s, the silence after which the transport takes a peer for lost, and the entry renews every second instead of every two.

--- a/control/src/main/java/org/cicadahead/state/ClaimTable.java
+++ b/control/src/main/java/org/cicadahead/state/ClaimTable.java
@@ -32,11 +32,12 @@
     /** For how long a claim is kept after its last change, in milliseconds. */
     public static final long RETENTION_MILLIS = 24 * 60 * 60 * 1_000L;
     /**
-     * After this time another attempt may take over a pending claim, in milliseconds. It is the lease of a step, in
-     * which a lost entry is noticed. Taking over early is safe, as the first attempt then cannot start. An entry whose
-     * request waits in a queue for longer renews the lease by sending its BeginClaim again.
+     * After this time another attempt may take over a pending claim, in milliseconds. It is the silence after which the
+     * transport takes a peer for lost, so that a caller whose entry was killed can run its request again after 3 s.
+     * Taking over early is safe, as the first attempt then cannot start. An entry whose request waits in a queue renews
+     * the lease every second by sending its BeginClaim again.
      */
-    public static final long PENDING_LEASE_MILLIS = 5_000;
+    public static final long PENDING_LEASE_MILLIS = 3_000;
 
     private static final Done FENCED = Done.refused("another attempt has taken over the claim");
     private static final Done NOT_FOUND = Done.refused("the claim does not exist");
--- a/entry/src/main/java/org/cicadahead/entry/ClaimSession.java
+++ b/entry/src/main/java/org/cicadahead/entry/ClaimSession.java
@@ -15,8 +15,8 @@
 
 /** The claim of a request that may not be repeated. Not safe for use by several threads. */
 final class ClaimSession {
-    /** How often a pending claim is renewed, in milliseconds; control lets others take it over after 5 s. */
-    private static final long RENEWAL_MILLIS = 2_000;
+    /** How often a pending claim is renewed, in milliseconds; control lets others take it over after 3 s. */
+    private static final long RENEWAL_MILLIS = 1_000;
 
     private final EntryContext context;
     private final Target target;
--- a/entry/src/test/java/org/cicadahead/entry/FaultTest.java
+++ b/entry/src/test/java/org/cicadahead/entry/FaultTest.java
@@ -377,7 +377,7 @@
 
     @Test
     void waitingClaimIsRenewedUntilItsRunEnds() throws Exception {
-        // Control lets another attempt take over a claim that is pending for 5 s without a renewal.
+        // Control lets another attempt take over a claim that is pending for 3 s without a renewal.
         CountDownLatch renewed = new CountDownLatch(2);
         fixture.control.fault(BeginClaim.class, (request, responder) -> {
             renewed.countDown();
