--- a/testbed/src/main/java/org/cicadahead/testbed/QuickstartCommand.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/QuickstartCommand.java
@@ -132,7 +132,7 @@
         Map<String, Integer> codes = fleet.shutdown();
         boolean graceful = codes.values().stream().allMatch(code -> code == 0);
         say(
-                "%s after %d ms: %s",
+                "%s, %d ms after the start: %s",
                 graceful ? "All daemons shut down gracefully" : "A daemon did not shut down gracefully",
                 millisSince(startNanos),
                 codes);
