--- /dev/null
+++ b/core/src/main/java/org/cicadahead/fleet/FleetMessages.java
@@ -0,0 +1,37 @@
+package org.cicadahead.fleet;
+
+import java.util.List;
+import org.cicadahead.protocol.MessageCatalog;
+
+/** The messages of this package as a catalogue. */
+public final class FleetMessages {
+
+    private FleetMessages() {}
+
+    /**
+     * Returns a catalogue with the messages of this package added.
+     *
+     * @param base the other messages
+     * @return the catalogue
+     */
+    public static MessageCatalog catalog(MessageCatalog base) {
+        return base.with(List.of(
+                Allotments.class,
+                AskAllotments.class,
+                CloseTurn.class,
+                FleetUpdate.class,
+                FoundStores.class,
+                OpenTurn.class,
+                ReadRetirement.class,
+                ReadSite.class,
+                ReadStoreMembers.class,
+                RetireStore.class,
+                RetirementState.class,
+                SiteDocument.class,
+                SiteStored.class,
+                StoreMembers.class,
+                SubmitSite.class,
+                TurnOpened.class,
+                WatchFleet.class));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cicadahead/fleet/FleetUpdate.java
@@ -0,0 +1,31 @@
+package org.cicadahead.fleet;
+
+import java.util.List;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.site.SiteConfiguration;
+
+/**
+ * A change of the fleet as one hub sees it. What has not changed is null or empty.
+ *
+ * @param site the configuration, or null
+ * @param endpoints endpoints that are new or changed
+ * @param alive the ids of endpoints that have reported to this hub since the last update, without a change
+ * @param daemons all daemons that watch this hub, and the hub itself; null if unchanged
+ * @param storeFounder the address of the store that founds the group of stores; empty if not decided yet
+ * @param retired the addresses of stores that are to be emptied; null if unchanged
+ */
+public record FleetUpdate(
+        SiteConfiguration site,
+        List<EndpointRecord> endpoints,
+        List<String> alive,
+        List<DaemonPlace> daemons,
+        String storeFounder,
+        List<String> retired)
+        implements Message {
+
+    /** Replaces missing lists of endpoints by empty ones. */
+    public FleetUpdate {
+        endpoints = endpoints == null ? List.of() : List.copyOf(endpoints);
+        alive = alive == null ? List.of() : List.copyOf(alive);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cicadahead/fleet/ReadStoreMembers.java
@@ -0,0 +1,6 @@
+package org.cicadahead.fleet;
+
+import org.cicadahead.protocol.Message;
+
+/** Asks the leader of the stores who is in their group. Answered by {@link StoreMembers}. */
+public record ReadStoreMembers() implements Message {}
--- a/entry/src/main/java/org/cicadahead/caller/KeyDigests.java
+++ b/core/src/main/java/org/cicadahead/model/KeyDigests.java
@@ -1,10 +1,9 @@
-package org.cicadahead.caller;
+package org.cicadahead.model;
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
-import org.cicadahead.model.KeyDigest;
 
 /** Digests of keys. */
 public final class KeyDigests {
--- a/core/src/main/java/org/cicadahead/model/RefusalReason.java
+++ b/core/src/main/java/org/cicadahead/model/RefusalReason.java
@@ -80,6 +80,12 @@
     ENDPOINT_LOST(502, "The endpoint was lost while the request ran", false, 1),
     /** Chunks of the answer are missing. */
     ANSWER_INCOMPLETE(502, "Part of the answer is missing", false, 1),
+    /** No configuration is known yet. */
+    SITE_UNKNOWN(503, "No configuration is known yet", true, 1),
+    /** The organisation has no such previous turn. */
+    TURN_UNKNOWN(404, "The previous turn does not exist", true, 0),
+    /** The stores did not answer, so that neither the previous turn nor the budget is certain. */
+    STORES_UNAVAILABLE(503, "The stores do not answer", true, 1),
     /** The request crashed endpoints and is refused for a time. */
     REQUEST_POISONOUS(422, "The request has crashed endpoints", true, 600),
     /** The caller reads the answer too slowly. */
--- a/core/src/main/java/org/cicadahead/wire/ControlClient.java
+++ b/core/src/main/java/org/cicadahead/wire/ControlClient.java
@@ -24,7 +24,7 @@
     /** One attempt is given up after this time, in milliseconds, as its replica may be cut off. */
     private static final long ATTEMPT_MILLIS = 1_000;
 
-    private final List<InetSocketAddress> replicas;
+    private volatile List<InetSocketAddress> replicas;
     private final MessageCatalog catalog;
     private final Map<InetSocketAddress, PeerClient> clients = new ConcurrentHashMap<>();
     private volatile InetSocketAddress leader;
@@ -50,6 +50,24 @@
         return new ControlClient(replicas, catalog);
     }
 
+    /**
+     * Replaces the addresses to try; calls under way go on.
+     *
+     * @param addresses the addresses of the replicas
+     * @throws IllegalArgumentException if there are no addresses
+     */
+    public void retarget(List<InetSocketAddress> addresses) {
+        if (addresses.isEmpty()) {
+            throw new IllegalArgumentException("There must be at least one control address");
+        }
+        replicas = List.copyOf(addresses);
+        clients.forEach((address, client) -> {
+            if (!addresses.contains(address) && !address.equals(leader) && clients.remove(address, client)) {
+                client.close();
+            }
+        });
+    }
+
     /**
      * Sends a request to the leader.
      *
@@ -91,8 +109,8 @@
     }
 
     private InetSocketAddress after(InetSocketAddress address) {
-        int index = replicas.indexOf(address);
-        return replicas.get((index + 1) % replicas.size());
+        List<InetSocketAddress> now = replicas;
+        return now.get((now.indexOf(address) + 1) % now.size());
     }
 
     private final class Attempt<R extends Message> implements Runnable {
--- a/entry/src/main/java/org/cicadahead/caller/RequestParser.java
+++ b/entry/src/main/java/org/cicadahead/caller/RequestParser.java
@@ -11,6 +11,7 @@
 import java.util.regex.Pattern;
 import org.cicadahead.model.IdempotencyKey;
 import org.cicadahead.model.KeyDigest;
+import org.cicadahead.model.KeyDigests;
 import org.cicadahead.model.ProgramId;
 import org.cicadahead.model.RefusalReason;
 import org.cicadahead.model.RequestId;
--- a/entry/src/main/java/org/cicadahead/entry/KeyScanner.java
+++ b/entry/src/main/java/org/cicadahead/entry/KeyScanner.java
@@ -1,7 +1,7 @@
 package org.cicadahead.entry;
 
 import java.nio.charset.StandardCharsets;
-import org.cicadahead.caller.KeyDigests;
+import org.cicadahead.model.KeyDigests;
 
 /** Finds keys in what would reach an endpoint, wherever the caller put them. */
 final class KeyScanner {
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/allotment/AllotmentTable.java
@@ -0,0 +1,66 @@
+package org.cicadahead.allotment;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cicadahead.fleet.Allotment;
+import org.cicadahead.fleet.AllotmentNeed;
+import org.cicadahead.site.SiteOrganisation;
+
+/**
+ * What the leader of the hubs has allotted of the rates of all organisations. Not safe for use by several threads.
+ *
+ * <p>At each moment the shares under a lease add up to at most {@link #SHARED_PART} of rate and burst, the rest fills a
+ * bucket for requests that come where there is no share. So what all entries together admit in any window is at most
+ * the burst and the rate. The first use is {@link #create(long)}, when a leader begins.
+ */
+public final class AllotmentTable {
+    /** How long a share holds, in milliseconds: long enough to outlast a change of the leader and one lost answer. */
+    public static final long LEASE_MILLIS = 5_000;
+
+    /** The part of rate and burst that is shared under leases; the rest serves uneven and new demand. */
+    static final double SHARED_PART = 0.75;
+
+    private final long beganMillis;
+    private final Map<String, OrganisationShares> organisations = new HashMap<>();
+
+    private AllotmentTable(long beganMillis) {
+        this.beganMillis = beganMillis;
+    }
+
+    /**
+     * Returns the table of a leader.
+     *
+     * @param nowMillis the monotonic time at which it began, in milliseconds; shares of the leader before it may hold
+     *     for {@link #LEASE_MILLIS} more
+     * @return the table
+     */
+    public static AllotmentTable create(long nowMillis) {
+        return new AllotmentTable(nowMillis);
+    }
+
+    /**
+     * Allots shares to an entry.
+     *
+     * @param entry the name of the entry
+     * @param needs what it needs and holds
+     * @param limits the organisations in force, by name
+     * @param nowMillis monotonic time in milliseconds
+     * @return a share for each organisation that is limited
+     */
+    public List<Allotment> ask(
+            String entry, List<AllotmentNeed> needs, Map<String, SiteOrganisation> limits, long nowMillis) {
+        organisations.keySet().retainAll(limits.keySet());
+        List<Allotment> shares = new ArrayList<>();
+        for (AllotmentNeed need : needs) {
+            SiteOrganisation organisation = limits.get(need.organisation());
+            if (organisation != null && organisation.limited()) {
+                shares.add(organisations
+                        .computeIfAbsent(need.organisation(), name -> new OrganisationShares(beganMillis))
+                        .ask(entry, need, organisation, nowMillis));
+            }
+        }
+        return shares;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/allotment/LocalAllotment.java
@@ -0,0 +1,166 @@
+package org.cicadahead.allotment;
+
+import org.cicadahead.fleet.Allotment;
+import org.cicadahead.fleet.AllotmentNeed;
+
+/**
+ * The share of one organisation's rate at one entry. Not safe for use by several threads.
+ *
+ * <p>The first use is {@link #create(String, long)}.
+ */
+public final class LocalAllotment {
+    /** How long extra requests may be used, in milliseconds. */
+    static final long EXTRA_MILLIS = 1_000;
+    /** The demand is the mean over about this time, in milliseconds. */
+    private static final double DEMAND_MILLIS = 1_500;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final String organisation;
+    private double rate;
+    private double burst;
+    private double tokens;
+    private long refilledMillis;
+    private long expiresMillis;
+    private int extra;
+    private long extraUntilMillis;
+    private double demand;
+    private long demandMillis;
+
+    private LocalAllotment(String organisation, long nowMillis) {
+        this.organisation = organisation;
+        this.refilledMillis = nowMillis;
+        this.demandMillis = nowMillis;
+    }
+
+    /**
+     * Returns an allotment of nothing.
+     *
+     * @param organisation the name of the organisation
+     * @param nowMillis monotonic time in milliseconds
+     * @return the allotment
+     */
+    public static LocalAllotment create(String organisation, long nowMillis) {
+        return new LocalAllotment(organisation, nowMillis);
+    }
+
+    /**
+     * Counts a request as demand.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void arrived(long nowMillis) {
+        decay(nowMillis);
+        demand += MILLIS_PER_SECOND / DEMAND_MILLIS;
+    }
+
+    /**
+     * Admits a request if there is a token for it.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     * @return true if it is admitted
+     */
+    public boolean tryTake(long nowMillis) {
+        refill(nowMillis);
+        if (tokens >= 1) {
+            tokens--;
+            return true;
+        }
+        if (extra > 0 && nowMillis < extraUntilMillis) {
+            extra--;
+            return true;
+        }
+        return false;
+    }
+
+    /**
+     * Takes a share from the leader. A larger burst adds only the tokens that come with it, as another entry may have
+     * used the rest.
+     *
+     * @param share the share
+     * @param sentMillis the monotonic time at which it was asked for, in milliseconds
+     * @param validMillis how long it holds from then on
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void allot(Allotment share, long sentMillis, long validMillis, long nowMillis) {
+        refill(nowMillis);
+        rate = share.rate();
+        burst = share.burst();
+        tokens = Math.min(tokens + share.tokens(), burst);
+        expiresMillis = sentMillis + validMillis;
+        if (share.extra() > 0) {
+            extra = (nowMillis < extraUntilMillis ? extra : 0) + share.extra();
+            extraUntilMillis = sentMillis + EXTRA_MILLIS;
+        }
+    }
+
+    /**
+     * Follows a change of the organisation's rate before the leader is asked again.
+     *
+     * @param factor the new rate in parts of the old one; a larger rate changes nothing
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void scale(double factor, long nowMillis) {
+        if (factor < 1) {
+            refill(nowMillis);
+            rate *= factor;
+            burst *= factor;
+            tokens = Math.min(tokens, burst);
+            extra = (int) (extra * factor);
+        }
+    }
+
+    /**
+     * Returns what to tell the leader.
+     *
+     * @param urgent how many requests wait
+     * @param nowMillis monotonic time in milliseconds
+     * @return the line
+     */
+    public AllotmentNeed need(int urgent, long nowMillis) {
+        decay(nowMillis);
+        boolean held = nowMillis < expiresMillis;
+        return new AllotmentNeed(organisation, demand, held ? rate : 0, held ? burst : 0, urgent);
+    }
+
+    /**
+     * Returns after what time a request may be admitted.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     * @return the time in milliseconds, at least 1
+     */
+    public long retryAfterMillis(long nowMillis) {
+        refill(nowMillis);
+        if (rate <= 0 || nowMillis >= expiresMillis) {
+            return (long) MILLIS_PER_SECOND;
+        }
+        return Math.max(1, (long) Math.ceil((1 - tokens) / rate * MILLIS_PER_SECOND));
+    }
+
+    /**
+     * Returns whether nobody has asked for a while, so that the allotment may be forgotten.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     * @return true if it is idle
+     */
+    public boolean isIdle(long nowMillis) {
+        decay(nowMillis);
+        return demand < 0.001 && nowMillis >= expiresMillis;
+    }
+
+    private void decay(long nowMillis) {
+        demand *= Math.exp(-(nowMillis - demandMillis) / DEMAND_MILLIS);
+        demandMillis = nowMillis;
+    }
+
+    private void refill(long nowMillis) {
+        long until = Math.min(nowMillis, expiresMillis);
+        if (until > refilledMillis) {
+            tokens = Math.min(burst, tokens + rate * (until - refilledMillis) / MILLIS_PER_SECOND);
+        }
+        refilledMillis = Math.max(refilledMillis, nowMillis);
+        if (nowMillis >= expiresMillis) {
+            tokens = 0;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointDesk.java
@@ -0,0 +1,93 @@
+package org.cicadahead.gateway;
+
+import java.util.Set;
+import org.cicadahead.fleet.EndpointPhase;
+import org.cicadahead.fleet.EndpointRecord;
+import org.cicadahead.fleet.FleetUpdate;
+import org.cicadahead.placement.ChoiceRequest;
+import org.cicadahead.placement.EndpointChoice;
+import org.cicadahead.placement.EndpointRoster;
+import org.cicadahead.placement.KnownEndpoint;
+
+/** The endpoints as the requests of an entry share them. Safe for use by several threads; its lock is a leaf. */
+final class EndpointDesk {
+    private final String zone;
+    private final EndpointRoster roster;
+    private final EndpointChoice choice;
+
+    EndpointDesk(String zone, long reportIntervalMillis) {
+        this.zone = zone;
+        this.roster = EndpointRoster.create(reportIntervalMillis);
+        this.choice = EndpointChoice.over(roster);
+    }
+
+    synchronized void updated(FleetUpdate update, long nowMillis) {
+        update.endpoints().forEach(report -> roster.heard(report, nowMillis));
+        update.alive().forEach(id -> roster.alive(id, nowMillis));
+        roster.forget(nowMillis);
+    }
+
+    /** Chooses an endpoint and counts the request as in flight there; returns null if there is none. */
+    synchronized Placement place(String service, String session, Set<String> excluded, long nowMillis) {
+        KnownEndpoint chosen = choice.choose(new ChoiceRequest(service, session, zone, excluded), nowMillis);
+        if (chosen == null) {
+            return null;
+        }
+        roster.begin(chosen);
+        return new Placement(chosen, chosen.record());
+    }
+
+    /** A request that an endpoint has; ended once. */
+    final class Placement {
+        private final KnownEndpoint endpoint;
+        private final EndpointRecord record;
+        private boolean ended;
+
+        Placement(KnownEndpoint endpoint, EndpointRecord record) {
+            this.endpoint = endpoint;
+            this.record = record;
+        }
+
+        EndpointRecord record() {
+            return record;
+        }
+
+        void succeeded() {
+            synchronized (EndpointDesk.this) {
+                if (end()) {
+                    roster.succeeded(endpoint);
+                }
+            }
+        }
+
+        /** The caller or the time limit ended the request, which tells nothing of the endpoint. */
+        void cancelled() {
+            synchronized (EndpointDesk.this) {
+                end();
+            }
+        }
+
+        void failed(RetryReason reason, long nowMillis) {
+            synchronized (EndpointDesk.this) {
+                if (!end()) {
+                    return;
+                }
+                switch (reason) {
+                    case REJECTED -> roster.full(endpoint, nowMillis);
+                    case WRONG_INSTANCE -> roster.heard(record.in(EndpointPhase.GONE), nowMillis);
+                    case FAILED -> roster.succeeded(endpoint);
+                    default -> roster.failed(endpoint, nowMillis);
+                }
+            }
+        }
+
+        private boolean end() {
+            if (ended) {
+                return false;
+            }
+            ended = true;
+            roster.end(endpoint);
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointRequest.java
@@ -0,0 +1,40 @@
+package org.cicadahead.gateway;
+
+import java.util.Objects;
+
+/**
+ * A request to an endpoint. Immutable.
+ *
+ * @param caller the caller's request; its method, target and headers are passed on
+ * @param body what the endpoint receives
+ * @param address host and port of the endpoint
+ * @param instance the incarnation that is to run it
+ * @param organisation the organisation that it runs for; empty on open routes
+ * @param timeLeftMillis how long the endpoint may work, in milliseconds
+ * @param afterEvent the last event that the caller has, if a stream is resumed; -1 otherwise
+ * @param reusable whether a connection that was idle may carry it; false if the request must not get lost on a
+ *     connection that the endpoint has closed meanwhile
+ */
+public record EndpointRequest(
+        CallerRequest caller,
+        byte[] body,
+        String address,
+        String instance,
+        String organisation,
+        long timeLeftMillis,
+        long afterEvent,
+        boolean reusable) {
+
+    /**
+     * Checks the values.
+     *
+     * @throws NullPointerException if a value is null
+     */
+    public EndpointRequest {
+        Objects.requireNonNull(caller, "The request must not be null");
+        Objects.requireNonNull(body, "The body must not be null");
+        Objects.requireNonNull(address, "The address must not be null");
+        Objects.requireNonNull(instance, "The instance must not be null");
+        Objects.requireNonNull(organisation, "The organisation must not be null");
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
@@ -0,0 +1,89 @@
+package org.cicadahead.gateway;
+
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
+import org.cicadahead.site.SiteIndex;
+
+/** What the requests of an entry share. Safe for use by several threads. */
+final class GatewayContext {
+    private final EndpointDesk desk;
+    private final RateGate rates;
+    private final TurnStores stores;
+    private final TurnTexts texts = new TurnTexts();
+    private final EndpointClient endpoints;
+    private final GatewayCounters counters;
+    private final DecisionLog decisions;
+    private final ScheduledExecutorService timer;
+    private final LongSupplier clock;
+    private final AtomicInteger active = new AtomicInteger();
+    private volatile SiteIndex site;
+
+    GatewayContext(
+            EndpointDesk desk,
+            RateGate rates,
+            TurnStores stores,
+            EndpointClient endpoints,
+            GatewayCounters counters,
+            DecisionLog decisions,
+            ScheduledExecutorService timer,
+            LongSupplier clock) {
+        this.desk = desk;
+        this.rates = rates;
+        this.stores = stores;
+        this.endpoints = endpoints;
+        this.counters = counters;
+        this.decisions = decisions;
+        this.timer = timer;
+        this.clock = clock;
+    }
+
+    EndpointDesk desk() {
+        return desk;
+    }
+
+    RateGate rates() {
+        return rates;
+    }
+
+    TurnStores stores() {
+        return stores;
+    }
+
+    TurnTexts texts() {
+        return texts;
+    }
+
+    EndpointClient endpoints() {
+        return endpoints;
+    }
+
+    GatewayCounters counters() {
+        return counters;
+    }
+
+    DecisionLog decisions() {
+        return decisions;
+    }
+
+    ScheduledExecutorService timer() {
+        return timer;
+    }
+
+    long nowMillis() {
+        return clock.getAsLong();
+    }
+
+    AtomicInteger active() {
+        return active;
+    }
+
+    /** Returns the configuration in force, or null if none is known. */
+    SiteIndex site() {
+        return site;
+    }
+
+    void site(SiteIndex next) {
+        site = next;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayCounters.java
@@ -0,0 +1,48 @@
+package org.cicadahead.gateway;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.EnumMap;
+import java.util.Map;
+import org.cicadahead.model.RefusalReason;
+
+/** The counters of an entry. All are registered at the start, so that the metrics show zeros. */
+final class GatewayCounters {
+    private final Map<RefusalReason, Counter> refusals = new EnumMap<>(RefusalReason.class);
+    private final Map<RetryReason, Counter> retries = new EnumMap<>(RetryReason.class);
+    private final Counter answered;
+    private final Counter broken;
+    private final Counter gone;
+
+    GatewayCounters(MetricRegistry metrics) {
+        for (RefusalReason reason : RefusalReason.values()) {
+            refusals.put(reason, metrics.counter("refusals." + reason.code()));
+        }
+        for (RetryReason reason : RetryReason.values()) {
+            retries.put(reason, metrics.counter("retries." + reason.code()));
+        }
+        answered = metrics.counter("gateway.answered");
+        broken = metrics.counter("gateway.broken");
+        gone = metrics.counter("gateway.caller_gone");
+    }
+
+    void refused(RefusalReason reason) {
+        refusals.get(reason).inc();
+    }
+
+    void retried(RetryReason reason) {
+        retries.get(reason).inc();
+    }
+
+    void answered() {
+        answered.inc();
+    }
+
+    void broken() {
+        broken.inc();
+    }
+
+    void gone() {
+        gone.inc();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
@@ -0,0 +1,221 @@
+package org.cicadahead.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.cicadahead.fleet.Allotments;
+import org.cicadahead.fleet.AskAllotments;
+import org.cicadahead.fleet.DaemonPlace;
+import org.cicadahead.fleet.FleetMessages;
+import org.cicadahead.fleet.FleetRole;
+import org.cicadahead.fleet.FleetUpdate;
+import org.cicadahead.node.Node;
+import org.cicadahead.protocol.MessageCatalog;
+import org.cicadahead.site.CallerLimits;
+import org.cicadahead.site.SiteConfiguration;
+import org.cicadahead.site.SiteIndex;
+import org.cicadahead.watch.Addresses;
+import org.cicadahead.watch.DaemonThreads;
+import org.cicadahead.watch.FleetListener;
+import org.cicadahead.watch.FleetWatch;
+import org.cicadahead.wire.ControlClient;
+import org.jboss.logging.Logger;
+
+/**
+ * The entry role of a daemon. Safe for use by several threads.
+ *
+ * <p>An adapter decodes the requests of callers and passes them to {@link #serve}. The first use is {@link #start}.
+ */
+public final class GatewayNode implements Node {
+    /** How often waiting requests are looked at, in milliseconds. */
+    private static final long TICK_MILLIS = 25;
+    /** How long an ask for shares may take, in milliseconds. */
+    private static final long ASK_MILLIS = 600;
+    /** How often a shutdown looks whether requests are left, in milliseconds. */
+    private static final long DRAIN_POLL_MILLIS = 20;
+    /** After SIGTERM requests are served for this time, in milliseconds: two checks of the balancer, a second apart. */
+    private static final long BALANCER_MILLIS = 3_200;
+
+    private static final Logger LOG = Logger.getLogger("cicadahead.gateway");
+
+    private final GatewayConfig config;
+    private final MessageCatalog catalog = FleetMessages.catalog(MessageCatalog.standard());
+    private final ScheduledThreadPoolExecutor timer =
+            new ScheduledThreadPoolExecutor(1, DaemonThreads.named("gateway-timer"));
+    private final EndpointDesk desk;
+    private final RateGate rates;
+    private final TurnStores stores;
+    private final ControlClient hubs;
+    private final GatewayContext context;
+    private FleetWatch watch;
+    private volatile boolean stopping;
+
+    private GatewayNode(GatewayConfig config, EndpointClient endpoints, DecisionLog decisions, MetricRegistry metrics) {
+        this.config = config;
+        timer.setRemoveOnCancelPolicy(true);
+        desk = new EndpointDesk(config.zone(), config.reportIntervalMillis());
+        hubs = ControlClient.to(config.hubs().stream().map(Addresses::parse).toList(), catalog);
+        rates = new RateGate(config.name(), this::ask, GatewayNode::nowMillis);
+        stores = new TurnStores(catalog, timer);
+        context = new GatewayContext(
+                desk, rates, stores, endpoints, new GatewayCounters(metrics), decisions, timer, GatewayNode::nowMillis);
+        metrics.gauge("gateway.active", () -> () -> context.active().get());
+        metrics.gauge("gateway.log_lines_dropped", () -> decisions::dropped);
+    }
+
+    /**
+     * Starts the role.
+     *
+     * @param config the settings
+     * @param endpoints sends requests to endpoints
+     * @param decisions takes a line for each request
+     * @param metrics takes the counters
+     * @return the running role
+     */
+    public static GatewayNode start(
+            GatewayConfig config, EndpointClient endpoints, DecisionLog decisions, MetricRegistry metrics) {
+        Objects.requireNonNull(config, "The config must not be null");
+        GatewayNode node = new GatewayNode(config, endpoints, decisions, metrics);
+        node.begin();
+        return node;
+    }
+
+    /**
+     * Returns the monotonic time.
+     *
+     * @return the time in milliseconds
+     */
+    public static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /**
+     * Serves a request. The answer comes through the exchange, also later by another thread.
+     *
+     * @param caller the request
+     * @param exchange the way back
+     */
+    public void serve(CallerRequest caller, CallerExchange exchange) {
+        RequestFlow.serve(context, caller, exchange);
+    }
+
+    /**
+     * Returns the bounds on what callers send.
+     *
+     * @return the bounds in force
+     */
+    public CallerLimits limits() {
+        SiteIndex site = context.site();
+        return site == null ? CallerLimits.STANDARD : site.site().limits();
+    }
+
+    /**
+     * Follows a change of the settings.
+     *
+     * @param hubs addresses of hubs
+     */
+    public void reseed(List<String> hubs) {
+        watch.reseed(hubs);
+    }
+
+    @Override
+    public boolean isReady() {
+        return !stopping && context.site() != null;
+    }
+
+    /**
+     * Returns whether a shutdown has begun, so that callers should open no more requests on their connections.
+     *
+     * @return true if it has
+     */
+    public boolean isStopping() {
+        return stopping;
+    }
+
+    /** Serves on until the balancer has noticed, then waits for what still runs. */
+    @Override
+    public void shutdown(long timeoutMillis) {
+        stopping = true;
+        long began = nowMillis();
+        LOG.infof(
+                "gateway: Stops within %d ms, %d requests run",
+                timeoutMillis, context.active().get());
+        try {
+            while (nowMillis() - began < timeoutMillis
+                    && (nowMillis() - began < BALANCER_MILLIS
+                            || context.active().get() > 0)) {
+                Thread.sleep(DRAIN_POLL_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        LOG.infof("gateway: Stopped, %d requests are cut off", context.active().get());
+        close();
+    }
+
+    private void begin() {
+        watch = FleetWatch.start(
+                new DaemonPlace(config.name(), FleetRole.ENTRY, config.zone(), ""),
+                config.hubs(),
+                catalog,
+                timer,
+                new HubListener());
+        timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        LOG.infof("gateway: %s started", config.name());
+    }
+
+    private void tick() {
+        try {
+            rates.tick();
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "gateway: The timer task failed");
+        }
+    }
+
+    private CompletableFuture<Allotments> ask(AskAllotments ask) {
+        return hubs.call(ask, Allotments.class, ASK_MILLIS);
+    }
+
+    private synchronized void configured(SiteConfiguration site) {
+        SiteIndex before = context.site();
+        if (before == null || site.version() > before.site().version()) {
+            context.site(SiteIndex.of(site));
+            rates.configured(site);
+            LOG.infof("gateway: Version %d of the configuration is in force", site.version());
+        }
+    }
+
+    private void close() {
+        timer.shutdownNow();
+        watch.close();
+        stores.stop();
+        hubs.close();
+    }
+
+    private final class HubListener implements FleetListener {
+
+        @Override
+        public void updated(String hub, FleetUpdate update) {
+            desk.updated(update, nowMillis());
+            if (update.site() != null) {
+                configured(update.site());
+            }
+            if (update.daemons() != null) {
+                timer.execute(this::daemonsChanged);
+            }
+        }
+
+        @Override
+        public void lost(String hub) {
+            LOG.debugf("gateway: The hub at %s is not reached", hub);
+        }
+
+        private void daemonsChanged() {
+            stores.known(watch.daemons(FleetRole.STORE).keySet());
+            hubs.retarget(watch.hubs().stream().map(Addresses::parse).toList());
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
@@ -0,0 +1,195 @@
+package org.cicadahead.gateway;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.cicadahead.allotment.LocalAllotment;
+import org.cicadahead.fleet.Allotment;
+import org.cicadahead.fleet.AllotmentNeed;
+import org.cicadahead.fleet.Allotments;
+import org.cicadahead.fleet.AskAllotments;
+import org.cicadahead.model.RefusalReason;
+import org.cicadahead.site.SiteConfiguration;
+import org.cicadahead.site.SiteOrganisation;
+import org.jboss.logging.Logger;
+
+/**
+ * Admits requests against the entry's shares of the rates. Safe for use by several threads; decisions are told outside
+ * its lock.
+ */
+final class RateGate {
+    /** How often shares are renewed, in milliseconds; a fifth of the lease, so that some answers may be lost. */
+    static final long RENEW_MILLIS = 1_000;
+    /** The least time between two asks, in milliseconds: a few round trips. */
+    static final long ASK_GAP_MILLIS = 15;
+    /** How long a request may wait for a share, in milliseconds; an answer of the leader takes a few. */
+    static final long WAIT_MILLIS = 150;
+
+    private static final Logger LOG = Logger.getLogger("cicadahead.gateway");
+
+    private final String entry;
+    private final HubLeader leader;
+    private final LongSupplier clock;
+    private final Map<String, Shares> organisations = new HashMap<>();
+    private long askedMillis = Long.MIN_VALUE / 2;
+    private boolean asking;
+    private boolean siteChanged;
+
+    /** The leader of the hubs as the gate asks it. */
+    interface HubLeader {
+        CompletableFuture<Allotments> ask(AskAllotments ask);
+    }
+
+    private record Waiter(Consumer<GatewayRefusal> decision, long untilMillis) {}
+
+    private record Decided(Consumer<GatewayRefusal> decision, GatewayRefusal refusal) {}
+
+    /** What is known of one organisation. */
+    private static final class Shares {
+        private final LocalAllotment allotment;
+        private final Deque<Waiter> waiters = new ArrayDeque<>();
+        private double rate;
+        private boolean leaderMissing;
+
+        Shares(LocalAllotment allotment) {
+            this.allotment = allotment;
+        }
+    }
+
+    RateGate(String entry, HubLeader leader, LongSupplier clock) {
+        this.entry = entry;
+        this.leader = leader;
+        this.clock = clock;
+    }
+
+    /** Decides on a request; the decision is null if it is admitted. */
+    void admit(SiteOrganisation organisation, Consumer<GatewayRefusal> decision) {
+        if (organisation == null || !organisation.limited()) {
+            decision.accept(null);
+            return;
+        }
+        long now = clock.getAsLong();
+        boolean admitted;
+        synchronized (this) {
+            Shares shares = organisations.computeIfAbsent(
+                    organisation.name(), name -> new Shares(LocalAllotment.create(name, now)));
+            shares.rate = organisation.ratePerSecond();
+            shares.allotment.arrived(now);
+            admitted = shares.waiters.isEmpty() && shares.allotment.tryTake(now);
+            if (!admitted) {
+                shares.waiters.add(new Waiter(decision, now + WAIT_MILLIS));
+            }
+        }
+        if (admitted) {
+            decision.accept(null);
+        } else {
+            ask(now);
+        }
+    }
+
+    /** Follows a change of the configuration: a lower rate holds at once, the rest is for the leader to say. */
+    void configured(SiteConfiguration site) {
+        long now = clock.getAsLong();
+        synchronized (this) {
+            Map<String, SiteOrganisation> limits = new HashMap<>();
+            if (site.organisations() != null) {
+                site.organisations().forEach(organisation -> limits.put(organisation.name(), organisation));
+            }
+            organisations.forEach((name, shares) -> {
+                SiteOrganisation limit = limits.get(name);
+                if (limit != null && limit.limited() && shares.rate > 0) {
+                    shares.allotment.scale(limit.ratePerSecond() / shares.rate, now);
+                    shares.rate = limit.ratePerSecond();
+                }
+            });
+            siteChanged = true;
+        }
+    }
+
+    /** Lets time pass; called every few tens of milliseconds. */
+    void tick() {
+        long now = clock.getAsLong();
+        List<Decided> decided = new ArrayList<>();
+        boolean due;
+        synchronized (this) {
+            organisations.values().forEach(shares -> drain(shares, false, decided, now));
+            organisations.values().removeIf(shares -> shares.waiters.isEmpty() && shares.allotment.isIdle(now));
+            due = !organisations.isEmpty()
+                    && (now - askedMillis >= RENEW_MILLIS
+                            || siteChanged
+                            || organisations.values().stream().anyMatch(shares -> !shares.waiters.isEmpty()));
+        }
+        tell(decided);
+        if (due) {
+            ask(now);
+        }
+    }
+
+    private void ask(long now) {
+        AskAllotments ask;
+        synchronized (this) {
+            if (asking || now - askedMillis < ASK_GAP_MILLIS) {
+                return;
+            }
+            asking = true;
+            siteChanged = false;
+            askedMillis = now;
+            List<AllotmentNeed> needs = new ArrayList<>();
+            organisations.values().forEach(shares -> needs.add(shares.allotment.need(shares.waiters.size(), now)));
+            ask = new AskAllotments(entry, needs);
+        }
+        leader.ask(ask).whenComplete((reply, failure) -> answered(reply, failure, now));
+    }
+
+    private void answered(Allotments reply, Throwable failure, long sentMillis) {
+        long now = clock.getAsLong();
+        List<Decided> decided = new ArrayList<>();
+        synchronized (this) {
+            asking = false;
+            if (failure != null) {
+                LOG.debugf("gateway: No shares of rates: %s", failure.getMessage());
+                organisations.values().forEach(shares -> shares.leaderMissing = true);
+            } else {
+                for (Allotment share : reply.shares()) {
+                    Shares shares = organisations.get(share.organisation());
+                    if (shares != null) {
+                        shares.leaderMissing = false;
+                        shares.allotment.allot(share, sentMillis, reply.validMillis(), now);
+                        drain(shares, true, decided, now);
+                    }
+                }
+            }
+        }
+        tell(decided);
+    }
+
+    /** Admits waiting requests in their order, and refuses those that cannot be admitted in time. */
+    private static void drain(Shares shares, boolean answered, List<Decided> decided, long now) {
+        while (!shares.waiters.isEmpty() && shares.allotment.tryTake(now)) {
+            decided.add(new Decided(shares.waiters.poll().decision, null));
+        }
+        long position = 0;
+        for (var left = shares.waiters.iterator(); left.hasNext(); ) {
+            Waiter waiter = left.next();
+            long turnMillis = shares.allotment.retryAfterMillis(now) * ++position;
+            boolean tooFar = answered && now + turnMillis > waiter.untilMillis;
+            if (tooFar || now >= waiter.untilMillis) {
+                left.remove();
+                RefusalReason reason = shares.leaderMissing && !answered
+                        ? RefusalReason.RATE_GRANT_UNAVAILABLE
+                        : RefusalReason.RATE_LIMITED;
+                decided.add(new Decided(waiter.decision, new GatewayRefusal(reason, turnMillis)));
+            }
+        }
+    }
+
+    private static void tell(List<Decided> decided) {
+        decided.forEach(each -> each.decision.accept(each.refusal));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
@@ -0,0 +1,43 @@
+package org.cicadahead.gateway;
+
+import org.cicadahead.site.SiteIndex;
+
+/**
+ * The first stages of a request: route and organisation, then the organisation's rate, then the turn or the endpoint.
+ */
+final class RequestFlow {
+
+    private RequestFlow() {}
+
+    /** Serves a request. */
+    static void serve(GatewayContext context, CallerRequest caller, CallerExchange exchange) {
+        RequestScope scope = new RequestScope(context, caller, exchange);
+        SiteIndex index = context.site();
+        AdmittedRequest admitted;
+        try {
+            admitted = Admission.admit(caller, index);
+        } catch (RefusedException e) {
+            scope.refuse(e.refusal());
+            return;
+        }
+        scope.trail().admitted(admitted, index.site().version());
+        scope.expireAt(admitted.deadlineMillis());
+        context.rates().admit(admitted.organisation(), refusal -> rated(scope, admitted, refusal));
+    }
+
+    private static void rated(RequestScope scope, AdmittedRequest admitted, GatewayRefusal refusal) {
+        if (refusal != null) {
+            scope.refuse(refusal);
+            return;
+        }
+        if (scope.isDone()) {
+            return;
+        }
+        scope.trail().rated(scope.context().nowMillis());
+        if (admitted.isTurn()) {
+            TurnSession.open(scope, admitted);
+        } else {
+            Attempts.start(scope, admitted, admitted.caller().body(), Attempts.NO_TURN);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/gateway/Trail.java
@@ -0,0 +1,85 @@
+package org.cicadahead.gateway;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What was decided on one request, written as one line at its end. Not safe for use by several threads. */
+final class Trail {
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private final CallerRequest caller;
+    private final List<Attempt> attempts = new ArrayList<>();
+    private AdmittedRequest admitted;
+    private long siteVersion;
+    private long rateMillis = -1;
+    private long openMillis = -1;
+
+    private record Attempt(String endpoint, String outcome, long beganMillis, long endedMillis) {}
+
+    Trail(CallerRequest caller) {
+        this.caller = caller;
+    }
+
+    void admitted(AdmittedRequest request, long version) {
+        admitted = request;
+        siteVersion = version;
+    }
+
+    void rated(long nowMillis) {
+        rateMillis = nowMillis - caller.receivedMillis();
+    }
+
+    void opened(long nowMillis) {
+        openMillis = nowMillis - caller.receivedMillis();
+    }
+
+    void attempt(String endpoint, String outcome, long beganMillis, long endedMillis) {
+        attempts.add(new Attempt(endpoint, outcome, beganMillis, endedMillis));
+    }
+
+    /** Returns the line. */
+    String line(String outcome, int status, long tokens, long nowMillis) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator json = JSON.createGenerator(text)) {
+            json.writeStartObject();
+            json.writeStringField("event", "request");
+            json.writeStringField("request", caller.attempt());
+            if (caller.line() != null) {
+                json.writeStringField("program", caller.line().program());
+                json.writeStringField("session", caller.line().session());
+            }
+            if (!caller.previousTurn().isEmpty()) {
+                json.writeStringField("previous", caller.previousTurn());
+            }
+            if (admitted != null) {
+                json.writeStringField("route", admitted.route().name());
+                json.writeStringField("organisation", admitted.organisationName());
+                json.writeNumberField("site_version", siteVersion);
+            }
+            json.writeStringField("outcome", outcome);
+            json.writeNumberField("status", status);
+            json.writeNumberField("ms", nowMillis - caller.receivedMillis());
+            json.writeNumberField("rate_ms", rateMillis);
+            json.writeNumberField("open_ms", openMillis);
+            json.writeNumberField("tokens", tokens);
+            json.writeArrayFieldStart("attempts");
+            for (Attempt each : attempts) {
+                json.writeStartObject();
+                json.writeStringField("endpoint", each.endpoint);
+                json.writeStringField("outcome", each.outcome);
+                json.writeNumberField("at_ms", each.beganMillis - caller.receivedMillis());
+                json.writeNumberField("ms", each.endedMillis - each.beganMillis);
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException("a text in memory takes all that is written", e);
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/hub/HubService.java
@@ -0,0 +1,199 @@
+package org.cicadahead.hub;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.cicadahead.allotment.AllotmentTable;
+import org.cicadahead.fleet.Allotments;
+import org.cicadahead.fleet.AskAllotments;
+import org.cicadahead.fleet.DaemonPlace;
+import org.cicadahead.fleet.FleetRole;
+import org.cicadahead.fleet.FoundStores;
+import org.cicadahead.fleet.ReadRetirement;
+import org.cicadahead.fleet.ReadSite;
+import org.cicadahead.fleet.RetireStore;
+import org.cicadahead.fleet.RetirementState;
+import org.cicadahead.fleet.SiteDocument;
+import org.cicadahead.fleet.SubmitSite;
+import org.cicadahead.fleet.WatchFleet;
+import org.cicadahead.protocol.Command;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.protocol.NotLeader;
+import org.cicadahead.replication.ReplicatedNode;
+import org.cicadahead.site.SiteConfiguration;
+import org.cicadahead.site.SiteOrganisation;
+import org.cicadahead.wire.PeerHandler;
+import org.cicadahead.wire.Responder;
+import org.cicadahead.wire.WireException;
+import org.jboss.logging.Logger;
+
+/**
+ * Serves what other daemons ask a hub. What needs the leader is answered with {@link NotLeader} elsewhere. Safe for use
+ * by several threads.
+ */
+final class HubService implements PeerHandler {
+    private static final Logger LOG = Logger.getLogger("cicadahead.hub");
+
+    private final ReplicatedNode log;
+    private final SiteStateMachine machine;
+    private final Watchers watchers;
+    private final StoreGroup stores;
+    private final LongSupplier clock;
+    private final int storesNeeded;
+    private final Object allotmentLock = new Object();
+    private AllotmentTable allotments;
+    private long allotmentTerm = -1;
+
+    HubService(
+            ReplicatedNode log,
+            SiteStateMachine machine,
+            Watchers watchers,
+            StoreGroup stores,
+            int storesNeeded,
+            LongSupplier clock) {
+        this.log = log;
+        this.machine = machine;
+        this.watchers = watchers;
+        this.stores = stores;
+        this.storesNeeded = storesNeeded;
+        this.clock = clock;
+    }
+
+    @Override
+    public void handle(Message request, Responder responder) throws WireException {
+        if (ReplicatedNode.handles(request)) {
+            log.handle(request, responder);
+        } else if (request instanceof WatchFleet watch) {
+            watchers.add(watch.daemon(), responder);
+        } else if (!log.holdsLease(clock.getAsLong())) {
+            responder.reply(new NotLeader(log.leaderAddress()));
+        } else {
+            lead(request, responder);
+        }
+    }
+
+    /** Decides which store founds the group of stores, as soon as there is one. */
+    void foundStores() {
+        if (!machine.state().storeFounder().isEmpty() || !log.holdsLease(clock.getAsLong())) {
+            return;
+        }
+        List<DaemonPlace> known = watchers.daemons(FleetRole.STORE);
+        if (!known.isEmpty()) {
+            String founder = known.get(0).address();
+            LOG.infof("hub: The store at %s founds the group of stores", founder);
+            log.propose(new FoundStores(founder)).whenComplete((done, failure) -> {
+                if (failure != null) {
+                    LOG.warnf("hub: The founder is not decided yet: %s", failure.getMessage());
+                }
+            });
+        }
+    }
+
+    private void lead(Message request, Responder responder) throws WireException {
+        if (request instanceof SubmitSite submitted) {
+            submit(submitted, responder);
+        } else if (request instanceof ReadSite) {
+            read(responder);
+        } else if (request instanceof AskAllotments ask) {
+            allot(ask, responder);
+        } else if (request instanceof RetireStore retire) {
+            retire(retire, responder);
+        } else if (request instanceof ReadRetirement read) {
+            retirement(read.name(), responder);
+        } else {
+            throw new WireException(WireException.Kind.REMOTE, "unexpected " + request.getClass());
+        }
+    }
+
+    /** A version that is not higher changes nothing, so that the log is spared, but only while the lease holds. */
+    private void submit(SubmitSite submitted, Responder responder) {
+        SiteState before = machine.state();
+        if (submitted.site().version() <= before.version() && log.holdsLease(clock.getAsLong())) {
+            responder.reply(before.stored(before));
+            return;
+        }
+        propose(submitted, responder);
+    }
+
+    private void read(Responder responder) {
+        long term = log.term();
+        SiteState state = machine.state();
+        if (log.holdsLease(clock.getAsLong()) && log.term() == term) {
+            responder.reply(new SiteDocument(state.version(), state.source()));
+        } else {
+            responder.reply(new NotLeader(log.leaderAddress()));
+        }
+    }
+
+    private void allot(AskAllotments ask, Responder responder) {
+        SiteConfiguration site = machine.state().site();
+        Map<String, SiteOrganisation> limits = site == null || site.organisations() == null
+                ? Map.of()
+                : site.organisations().stream()
+                        .collect(Collectors.toMap(SiteOrganisation::name, organisation -> organisation));
+        long now = clock.getAsLong();
+        Allotments reply;
+        synchronized (allotmentLock) {
+            if (allotmentTerm != log.term()) {
+                allotmentTerm = log.term();
+                allotments = AllotmentTable.create(now);
+            }
+            reply = new Allotments(AllotmentTable.LEASE_MILLIS, allotments.ask(ask.entry(), ask.needs(), limits, now));
+        }
+        responder.reply(log.holdsLease(clock.getAsLong()) ? reply : new NotLeader(log.leaderAddress()));
+    }
+
+    private void retire(RetireStore request, Responder responder) {
+        Map<String, String> retired = machine.state().retired();
+        List<DaemonPlace> known = watchers.daemons(FleetRole.STORE);
+        DaemonPlace store = known.stream()
+                .filter(place -> place.name().equals(request.name()))
+                .findFirst()
+                .orElse(null);
+        if (retired.containsKey(request.name())) {
+            responder.reply(new RetirementState(RetirementState.Phase.RUNNING));
+        } else if (store == null) {
+            responder.reply(new RetirementState(RetirementState.Phase.UNKNOWN));
+        } else if (known.stream()
+                                .filter(place -> !retired.containsValue(place.address()))
+                                .count()
+                        - 1
+                < storesNeeded) {
+            responder.reply(new RetirementState(RetirementState.Phase.TOO_FEW));
+        } else {
+            LOG.infof("hub: The store %s at %s is to be emptied", store.name(), store.address());
+            propose(new RetireStore(store.name(), store.address()), responder);
+        }
+    }
+
+    private void retirement(String name, Responder responder) {
+        String address = machine.state().retired().get(name);
+        if (address == null) {
+            responder.reply(new RetirementState(RetirementState.Phase.UNKNOWN));
+            return;
+        }
+        stores.members().whenComplete((members, failure) -> {
+            if (failure != null) {
+                LOG.warnf("hub: The members of the stores are not known: %s", failure.getMessage());
+                responder.reply(new RetirementState(RetirementState.Phase.UNCERTAIN));
+            } else {
+                boolean left = !members.addresses().contains(address);
+                responder.reply(
+                        new RetirementState(left ? RetirementState.Phase.COMPLETED : RetirementState.Phase.RUNNING));
+            }
+        });
+    }
+
+    private void propose(Command command, Responder responder) {
+        CompletableFuture<Message> answer = log.propose(command);
+        answer.whenComplete((reply, failure) -> {
+            if (failure == null) {
+                responder.reply(reply);
+            } else {
+                responder.fail(failure.getMessage());
+            }
+        });
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/hub/SiteStateMachine.java
@@ -0,0 +1,87 @@
+package org.cicadahead.hub;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.function.Consumer;
+import org.cicadahead.fleet.FoundStores;
+import org.cicadahead.fleet.RetireStore;
+import org.cicadahead.fleet.RetirementState;
+import org.cicadahead.fleet.SubmitSite;
+import org.cicadahead.protocol.Command;
+import org.cicadahead.protocol.Done;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.replication.StateMachine;
+import org.cicadahead.replication.StateSnapshot;
+import org.cicadahead.wire.Codec;
+import org.cicadahead.wire.WireException;
+
+/** The state of the hubs behind their log. Commands come from one thread; {@link #state()} may be called by any. */
+final class SiteStateMachine implements StateMachine {
+    private final Consumer<SiteState> changed;
+    private volatile SiteState state = SiteState.EMPTY;
+
+    SiteStateMachine(Consumer<SiteState> changed) {
+        this.changed = changed;
+    }
+
+    SiteState state() {
+        return state;
+    }
+
+    @Override
+    public Message apply(long index, long leaderMillis, Command command) throws IOException {
+        SiteState before = state;
+        if (command instanceof SubmitSite submitted) {
+            replace(before.with(submitted));
+            return state.stored(before);
+        }
+        if (command instanceof FoundStores founded) {
+            replace(before.foundedBy(founded.address()));
+            return Done.ok();
+        }
+        if (command instanceof RetireStore retired) {
+            replace(before.retiring(retired.name(), retired.address()));
+            return new RetirementState(RetirementState.Phase.RUNNING);
+        }
+        throw new IOException(
+                "entry " + index + " holds the unexpected " + command.getClass().getSimpleName());
+    }
+
+    @Override
+    public StateSnapshot prepareSnapshot() {
+        return new Snapshot(state.image());
+    }
+
+    @Override
+    public void restore(InputStream in) throws IOException {
+        try {
+            replace(SiteState.of(Codec.unpack(in.readAllBytes(), SiteImage.class)));
+        } catch (WireException e) {
+            throw new IOException("the snapshot cannot be read", e);
+        }
+    }
+
+    private void replace(SiteState next) {
+        if (next != state) {
+            state = next;
+            changed.accept(next);
+        }
+    }
+
+    private record Snapshot(SiteImage image) implements StateSnapshot {
+        @Override
+        public void write(OutputStream out) throws IOException {
+            try {
+                out.write(Codec.pack(image));
+            } catch (WireException e) {
+                throw new IOException("the snapshot cannot be written", e);
+            }
+        }
+
+        @Override
+        public void close() {
+            // Holds no resources.
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/hub/Watchers.java
@@ -0,0 +1,133 @@
+package org.cicadahead.hub;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.cicadahead.fleet.DaemonPlace;
+import org.cicadahead.fleet.EndpointRecord;
+import org.cicadahead.fleet.FleetRole;
+import org.cicadahead.fleet.FleetUpdate;
+import org.cicadahead.placement.EndpointRoster;
+import org.cicadahead.wire.Responder;
+import org.jboss.logging.Logger;
+
+/**
+ * The daemons that follow a hub, and what the hub tells them. Safe for use by several threads.
+ *
+ * <p>One lock guards the endpoints and the order of updates, so that each watcher sees all changes after its first
+ * update; sending only queues the update.
+ */
+final class Watchers {
+    /** A watcher with more bytes unread than this is dropped, so that it does not fill the memory; it comes again. */
+    private static final long MAX_QUEUED_BYTES = 4L * 1024 * 1024;
+
+    private static final Logger LOG = Logger.getLogger("cicadahead.hub");
+
+    private final DaemonPlace self;
+    private final EndpointRoster roster;
+    private final Map<Responder, DaemonPlace> watchers = new LinkedHashMap<>();
+    private final Set<String> alive = new TreeSet<>();
+    private SiteState state = SiteState.EMPTY;
+
+    Watchers(DaemonPlace self, EndpointRoster roster) {
+        this.self = self;
+        this.roster = roster;
+    }
+
+    /** Begins to tell a daemon. */
+    void add(DaemonPlace daemon, Responder responder) {
+        synchronized (this) {
+            watchers.values().removeIf(other -> other.equals(daemon));
+            watchers.put(responder, daemon);
+            responder.part(new FleetUpdate(
+                    state.site(),
+                    roster.records(),
+                    List.of(),
+                    daemons(),
+                    state.storeFounder(),
+                    List.copyOf(state.retired().values())));
+            tellDaemons();
+        }
+        LOG.infof("hub: %s %s watches", daemon.role(), daemon.name());
+        responder.onCancel(() -> remove(responder));
+    }
+
+    /** Takes a report of an endpoint; tells at once what has changed. */
+    synchronized void report(EndpointRecord report, long nowMillis) {
+        if (roster.heard(report, nowMillis)) {
+            EndpointRecord merged = roster.find(report.id()).record();
+            tell(new FleetUpdate(null, List.of(merged), null, null, "", null));
+        } else {
+            alive.add(report.id());
+        }
+    }
+
+    /** Tells which endpoints have reported since the last time. */
+    synchronized void tellAlive(long nowMillis) {
+        if (!alive.isEmpty()) {
+            tell(new FleetUpdate(null, null, new ArrayList<>(alive), null, "", null));
+            alive.clear();
+        }
+        roster.forget(nowMillis);
+    }
+
+    /** Tells a change of what the hubs agree on. */
+    synchronized void agreed(SiteState next) {
+        SiteState before = state;
+        state = next;
+        boolean retired = !next.retired().equals(before.retired());
+        tell(new FleetUpdate(
+                next.version() > before.version() ? next.site() : null,
+                null,
+                null,
+                null,
+                next.storeFounder(),
+                retired ? List.copyOf(next.retired().values()) : null));
+    }
+
+    /** Returns the daemons of a role that watch. */
+    synchronized List<DaemonPlace> daemons(FleetRole role) {
+        return watchers.values().stream()
+                .filter(place -> place.role() == role)
+                .distinct()
+                .toList();
+    }
+
+    private List<DaemonPlace> daemons() {
+        List<DaemonPlace> all = new ArrayList<>(watchers.values());
+        all.add(self);
+        return all.stream().distinct().toList();
+    }
+
+    private void remove(Responder responder) {
+        synchronized (this) {
+            DaemonPlace gone = watchers.remove(responder);
+            if (gone == null) {
+                return;
+            }
+            LOG.infof("hub: %s %s does not watch any more", gone.role(), gone.name());
+            tellDaemons();
+        }
+    }
+
+    private void tellDaemons() {
+        tell(new FleetUpdate(null, null, null, daemons(), "", null));
+    }
+
+    private void tell(FleetUpdate update) {
+        for (Responder responder : new ArrayList<>(watchers.keySet())) {
+            if (responder.queuedBytes() > MAX_QUEUED_BYTES) {
+                LOG.warnf(
+                        "hub: %s reads too slowly and is dropped",
+                        watchers.get(responder).name());
+                watchers.remove(responder);
+                responder.fail("the watcher reads too slowly");
+            } else {
+                responder.part(update);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/hub/package-info.java
@@ -0,0 +1,2 @@
+/** The hub: holds the configuration, hears endpoints and operators, and tells entries and stores. */
+package org.cicadahead.hub;
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/store/StoreService.java
@@ -0,0 +1,94 @@
+package org.cicadahead.store;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.cicadahead.fleet.CloseTurn;
+import org.cicadahead.fleet.OpenTurn;
+import org.cicadahead.fleet.ReadStoreMembers;
+import org.cicadahead.fleet.StoreMembers;
+import org.cicadahead.fleet.TurnOpened;
+import org.cicadahead.protocol.Command;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.protocol.NotLeader;
+import org.cicadahead.replication.MemberStatus;
+import org.cicadahead.replication.ReplicatedNode;
+import org.cicadahead.wire.PeerHandler;
+import org.cicadahead.wire.Responder;
+import org.cicadahead.wire.WireException;
+
+/** Serves what other daemons ask a store. Safe for use by several threads. */
+final class StoreService implements PeerHandler {
+    private static final long MEMBERS_MILLIS = 500;
+
+    private final TurnStateMachine machine;
+    private volatile ReplicatedNode log;
+
+    StoreService(TurnStateMachine machine) {
+        this.machine = machine;
+    }
+
+    /** Begins to serve. */
+    void serve(ReplicatedNode started) {
+        log = started;
+    }
+
+    @Override
+    public void handle(Message request, Responder responder) throws WireException {
+        ReplicatedNode current = log;
+        if (current == null) {
+            throw new WireException(WireException.Kind.REMOTE, "the store has not joined its group yet");
+        }
+        if (ReplicatedNode.handles(request)) {
+            current.handle(request, responder);
+        } else if (!current.isLeader()) {
+            responder.reply(new NotLeader(current.leaderAddress()));
+        } else if (request instanceof OpenTurn open) {
+            open(current, open, responder);
+        } else if (request instanceof CloseTurn) {
+            propose(current, (CloseTurn) request, responder);
+        } else if (request instanceof ReadStoreMembers) {
+            members(current, responder);
+        } else {
+            throw new WireException(WireException.Kind.REMOTE, "unexpected " + request.getClass());
+        }
+    }
+
+    private void open(ReplicatedNode current, OpenTurn request, Responder responder) {
+        current.propose(request).whenComplete((reply, failure) -> {
+            if (failure != null) {
+                responder.fail(failure.getMessage());
+                return;
+            }
+            TurnOpened opened = (TurnOpened) reply;
+            boolean wanted = opened.verdict() == TurnOpened.Verdict.OPEN
+                    && !request.previous().isEmpty()
+                    && !request.knowsPrevious();
+            responder.reply(wanted ? new TurnOpened(opened.verdict(), machine.history(request.previous())) : opened);
+        });
+    }
+
+    private static void propose(ReplicatedNode current, Command command, Responder responder) {
+        current.propose(command).whenComplete((reply, failure) -> {
+            if (failure == null) {
+                responder.reply(reply);
+            } else {
+                responder.fail(failure.getMessage());
+            }
+        });
+    }
+
+    /** Answers under the lease only, as a leader that was replaced does not know of later changes. */
+    private static void members(ReplicatedNode current, Responder responder) {
+        current.members().orTimeout(MEMBERS_MILLIS, TimeUnit.MILLISECONDS).whenComplete((members, failure) -> {
+            if (failure != null) {
+                responder.fail(String.valueOf(failure.getMessage()));
+            } else if (!current.holdsLease(ReplicatedNode.monotonicMillis())) {
+                responder.reply(new NotLeader(current.leaderAddress()));
+            } else {
+                List<String> addresses =
+                        members.stream().map(MemberStatus::address).toList();
+                responder.reply(new StoreMembers(addresses));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/store/TurnStateMachine.java
@@ -0,0 +1,114 @@
+package org.cicadahead.store;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import org.cicadahead.fleet.CloseTurn;
+import org.cicadahead.fleet.OpenTurn;
+import org.cicadahead.fleet.TurnOpened;
+import org.cicadahead.protocol.Command;
+import org.cicadahead.protocol.Done;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.replication.StateMachine;
+import org.cicadahead.replication.StateSnapshot;
+import org.cicadahead.turns.BudgetRow;
+import org.cicadahead.turns.TurnImage;
+import org.cicadahead.turns.TurnRow;
+import org.cicadahead.turns.TurnTable;
+import org.cicadahead.wire.Codec;
+import org.cicadahead.wire.WireException;
+
+/** The turn table behind the log. Commands come from one thread; {@link #history} may be called by any. */
+final class TurnStateMachine implements StateMachine {
+    private TurnTable table = TurnTable.create();
+
+    @Override
+    public synchronized Message apply(long index, long leaderMillis, Command command) throws IOException {
+        if (command instanceof OpenTurn open) {
+            return new TurnOpened(table.open(open, leaderMillis), null);
+        }
+        if (command instanceof CloseTurn close) {
+            table.close(close, leaderMillis);
+            return Done.ok();
+        }
+        throw new IOException(
+                "entry " + index + " holds the unexpected " + command.getClass().getSimpleName());
+    }
+
+    /** Returns the text of a chain, or null if it is not known whole. */
+    synchronized byte[] history(String turn) {
+        return table.history(turn);
+    }
+
+    synchronized int turns() {
+        return table.turns();
+    }
+
+    synchronized int budgets() {
+        return table.budgets();
+    }
+
+    @Override
+    public synchronized StateSnapshot prepareSnapshot() {
+        return new Snapshot(table.image());
+    }
+
+    @Override
+    public synchronized void restore(InputStream in) throws IOException {
+        TurnTable restored = TurnTable.create();
+        DataInputStream data = new DataInputStream(in);
+        try {
+            int turns = data.readInt();
+            for (int i = 0; i < turns; i++) {
+                restored.restore(read(data, TurnRow.class));
+            }
+            int budgets = data.readInt();
+            for (int i = 0; i < budgets; i++) {
+                restored.restore(read(data, BudgetRow.class));
+            }
+        } catch (WireException e) {
+            throw new IOException("the snapshot cannot be read", e);
+        }
+        table = restored;
+    }
+
+    private static <T> T read(DataInputStream data, Class<T> type) throws IOException, WireException {
+        byte[] row = new byte[data.readInt()];
+        data.readFully(row);
+        return Codec.unpack(row, type);
+    }
+
+    /** Rows one after another, each behind its length, so that no copy of the whole is made. */
+    private record Snapshot(TurnImage image) implements StateSnapshot {
+        @Override
+        public void write(OutputStream out) throws IOException {
+            DataOutputStream data = new DataOutputStream(out);
+            data.writeInt(image.turns().size());
+            for (TurnRow row : image.turns()) {
+                write(data, row);
+            }
+            data.writeInt(image.budgets().size());
+            for (BudgetRow row : image.budgets()) {
+                write(data, row);
+            }
+            data.flush();
+        }
+
+        private static void write(DataOutputStream data, Object row) throws IOException {
+            try {
+                byte[] bytes = Codec.pack(row);
+                data.writeInt(bytes.length);
+                data.write(bytes);
+            } catch (WireException e) {
+                throw new IOException("the snapshot cannot be written", e);
+            }
+        }
+
+        @Override
+        public void close() {
+            // Holds no resources.
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/store/package-info.java
@@ -0,0 +1,2 @@
+/** The store: holds kept turns and the budgets of programs. */
+package org.cicadahead.store;
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/turns/ProgramBudget.java
@@ -0,0 +1,67 @@
+package org.cicadahead.turns;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** What the turns of one program have used of its budget. Mutable and owned by {@link TurnTable}. */
+final class ProgramBudget {
+    private final Map<String, Long> open = new HashMap<>();
+    private final Map<String, Long> closed = new HashMap<>();
+    private long keptUntilMillis;
+
+    static ProgramBudget create() {
+        return new ProgramBudget();
+    }
+
+    static ProgramBudget of(Map<String, Long> open, Map<String, Long> closed, long keptUntilMillis) {
+        ProgramBudget budget = new ProgramBudget();
+        budget.open.putAll(open);
+        budget.closed.putAll(closed);
+        budget.keptUntilMillis = keptUntilMillis;
+        return budget;
+    }
+
+    /** Returns whether the turn may run; what is open counts at its most. */
+    boolean allows(String turn, long budgetTokens) {
+        return open.containsKey(turn) || closed.containsKey(turn) || used() < budgetTokens;
+    }
+
+    void open(String turn, long maxTokens) {
+        if (!closed.containsKey(turn)) {
+            open.put(turn, maxTokens);
+        }
+    }
+
+    void close(String turn, long tokens) {
+        if (open.remove(turn) != null) {
+            closed.put(turn, tokens);
+        }
+    }
+
+    void keepUntil(long untilMillis) {
+        keptUntilMillis = Math.max(keptUntilMillis, untilMillis);
+    }
+
+    long keptUntilMillis() {
+        return keptUntilMillis;
+    }
+
+    long used() {
+        long sum = 0;
+        for (long tokens : open.values()) {
+            sum += tokens;
+        }
+        for (long tokens : closed.values()) {
+            sum += tokens;
+        }
+        return sum;
+    }
+
+    Map<String, Long> openTurns() {
+        return Map.copyOf(open);
+    }
+
+    Map<String, Long> closedTurns() {
+        return Map.copyOf(closed);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/watch/Addresses.java
@@ -0,0 +1,34 @@
+package org.cicadahead.watch;
+
+import java.net.InetSocketAddress;
+
+/** Addresses as texts of the form {@code host:port}. */
+public final class Addresses {
+
+    private Addresses() {}
+
+    /**
+     * Parses an address.
+     *
+     * @param text host and port
+     * @return the address
+     * @throws IllegalArgumentException if the text is not an address
+     */
+    public static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("The address must be host:port: " + text);
+        }
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    /**
+     * Returns the text of an address.
+     *
+     * @param address the address
+     * @return host and port
+     */
+    public static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/watch/FleetWatch.java
@@ -0,0 +1,238 @@
+package org.cicadahead.watch;
+
+import java.io.Closeable;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cicadahead.fleet.DaemonPlace;
+import org.cicadahead.fleet.FleetRole;
+import org.cicadahead.fleet.FleetUpdate;
+import org.cicadahead.fleet.WatchFleet;
+import org.cicadahead.protocol.Message;
+import org.cicadahead.protocol.MessageCatalog;
+import org.cicadahead.wire.PeerCall;
+import org.cicadahead.wire.PeerClient;
+import org.cicadahead.wire.StreamListener;
+import org.cicadahead.wire.WireException;
+import org.jboss.logging.Logger;
+
+/**
+ * Follows all hubs at once: those of the settings and those that they tell of. Safe for use by several threads.
+ *
+ * <p>A daemon that has a connection to each hub learns of a change from whichever hub hears it, so that no hub depends
+ * on another for it. The first use is {@link #start}.
+ */
+public final class FleetWatch implements Closeable {
+    /** The time between attempts to reach a hub, in milliseconds: a fraction of the time to apply a configuration. */
+    private static final long RETRY_MILLIS = 250;
+
+    private static final Logger LOG = Logger.getLogger("cicadahead.watch");
+
+    private final DaemonPlace self;
+    private Set<String> seeds;
+    private final MessageCatalog catalog;
+    private final ScheduledExecutorService timer;
+    private final FleetListener listener;
+    private final Map<String, HubLink> links = new HashMap<>();
+    private boolean closed;
+
+    private FleetWatch(
+            DaemonPlace self,
+            Collection<String> seeds,
+            MessageCatalog catalog,
+            ScheduledExecutorService timer,
+            FleetListener listener) {
+        this.self = Objects.requireNonNull(self, "The daemon must not be null");
+        this.seeds = new TreeSet<>(seeds);
+        this.catalog = catalog;
+        this.timer = timer;
+        this.listener = listener;
+    }
+
+    /**
+     * Begins to follow the hubs.
+     *
+     * @param self this daemon, which the hubs tell others of
+     * @param seeds addresses of hubs
+     * @param catalog the message types
+     * @param timer runs repeated attempts
+     * @param listener is told what the hubs say
+     * @return the watch
+     */
+    public static FleetWatch start(
+            DaemonPlace self,
+            Collection<String> seeds,
+            MessageCatalog catalog,
+            ScheduledExecutorService timer,
+            FleetListener listener) {
+        FleetWatch watch = new FleetWatch(self, seeds, catalog, timer, listener);
+        watch.relink();
+        return watch;
+    }
+
+    /**
+     * Replaces the addresses of the settings.
+     *
+     * @param addresses addresses of hubs; none are ignored
+     */
+    public void reseed(Collection<String> addresses) {
+        synchronized (this) {
+            if (addresses.isEmpty()) {
+                return;
+            }
+            seeds = new TreeSet<>(addresses);
+        }
+        timer.execute(this::relink);
+    }
+
+    /**
+     * Returns the addresses of all known hubs.
+     *
+     * @return the addresses
+     */
+    public synchronized List<String> hubs() {
+        return List.copyOf(wanted());
+    }
+
+    /**
+     * Returns the daemons of a role that any reachable hub tells of.
+     *
+     * @param role the role
+     * @return the daemons by their addresses
+     */
+    public synchronized Map<String, DaemonPlace> daemons(FleetRole role) {
+        Map<String, DaemonPlace> found = new HashMap<>();
+        for (HubLink link : links.values()) {
+            for (DaemonPlace place : link.daemons) {
+                if (place.role() == role) {
+                    found.put(place.address(), place);
+                }
+            }
+        }
+        return found;
+    }
+
+    /**
+     * Returns how many hubs have told their state since they were last lost.
+     *
+     * @return the number
+     */
+    public synchronized long connected() {
+        return links.values().stream().filter(link -> link.told).count();
+    }
+
+    @Override
+    public synchronized void close() {
+        closed = true;
+        links.values().forEach(link -> link.client.close());
+        links.clear();
+    }
+
+    private synchronized Set<String> wanted() {
+        Set<String> wanted = new TreeSet<>(seeds);
+        daemons(FleetRole.HUB).keySet().forEach(wanted::add);
+        return wanted;
+    }
+
+    private synchronized void relink() {
+        if (closed) {
+            return;
+        }
+        Set<String> wanted = wanted();
+        wanted.remove(self.address());
+        for (String address : new HashSet<>(links.keySet())) {
+            if (!wanted.contains(address)) {
+                links.remove(address).client.close();
+            }
+        }
+        for (String address : wanted) {
+            if (!links.containsKey(address)) {
+                HubLink link = new HubLink(address);
+                links.put(address, link);
+                link.connect();
+            }
+        }
+    }
+
+    /** The connection to one hub. Its fields are guarded by the watch. */
+    private final class HubLink implements StreamListener {
+        private final String address;
+        private final PeerClient client;
+        private List<DaemonPlace> daemons = List.of();
+        private boolean told;
+        private PeerCall call;
+
+        HubLink(String address) {
+            this.address = address;
+            this.client = PeerClient.to(Addresses.parse(address), catalog);
+        }
+
+        void connect() {
+            call = client.stream(new WatchFleet(self), this);
+        }
+
+        @Override
+        public void part(Message part) {
+            if (!(part instanceof FleetUpdate update)) {
+                LOG.warnf(
+                        "watch: Unexpected %s from the hub at %s",
+                        part.getClass().getSimpleName(), address);
+                return;
+            }
+            synchronized (FleetWatch.this) {
+                if (!told) {
+                    told = true;
+                    LOG.infof("watch: Follows the hub at %s", address);
+                }
+                if (update.daemons() != null) {
+                    daemons = update.daemons();
+                    timer.execute(FleetWatch.this::relink);
+                }
+            }
+            listener.updated(address, update);
+        }
+
+        @Override
+        public void end(Message reply) {
+            lost("the hub ended the watch");
+        }
+
+        @Override
+        public void failed(WireException cause) {
+            lost(cause.getMessage());
+        }
+
+        private void lost(String reason) {
+            boolean before;
+            synchronized (FleetWatch.this) {
+                before = told;
+                told = false;
+                daemons = List.of();
+                if (closed || links.get(address) != this) {
+                    return;
+                }
+            }
+            if (before) {
+                LOG.warnf("watch: Lost the hub at %s: %s", address, reason);
+                listener.lost(address);
+            }
+            timer.schedule(this::reconnect, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        private void reconnect() {
+            synchronized (FleetWatch.this) {
+                if (closed || links.get(address) != this) {
+                    return;
+                }
+            }
+            connect();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/watch/package-info.java
@@ -0,0 +1,2 @@
+/** How daemons follow the hubs of their deployment. */
+package org.cicadahead.watch;
--- a/raft/src/main/java/org/cicadahead/replication/ConsensusLoop.java
+++ b/raft/src/main/java/org/cicadahead/replication/ConsensusLoop.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -29,6 +30,9 @@
     /** Limits the buffer of one write to the log. */
     private static final long MAX_BATCH_BYTES = 4L * 1024 * 1024;
 
+    /** How often a leader looks whether members are to be removed; a fraction of the time to notice a silent one. */
+    private static final long UPKEEP_MILLIS = 250;
+
     private static final Logger LOG = Logger.getLogger("cicadahead.raft");
 
     private final Consensus consensus;
@@ -36,11 +40,14 @@
     private final Transport transport;
     private final Pending pending;
     private final Sink sink;
+    private final int targetVoters;
     private final BlockingQueue<Runnable> events = new LinkedBlockingQueue<>();
     private final ConcurrentLinkedQueue<Proposal> proposals = new ConcurrentLinkedQueue<>();
     private final List<CompletableFuture<Void>> handOvers = new ArrayList<>();
     private volatile Status status;
+    private volatile Set<String> leaving = Set.of();
     private volatile boolean stopped;
+    private long upkeepDue = Long.MIN_VALUE;
     private boolean wasLeader;
 
     /** Takes what consensus asks for; must not block. */
@@ -68,7 +75,14 @@
 
     private record Proposal(Payload payload, CompletableFuture<Message> answer) {}
 
-    ConsensusLoop(Consensus consensus, Discovery discovery, Transport transport, Pending pending, Sink sink) {
+    ConsensusLoop(
+            Consensus consensus,
+            Discovery discovery,
+            Transport transport,
+            Pending pending,
+            Sink sink,
+            int targetVoters) {
+        this.targetVoters = targetVoters;
         this.consensus = consensus;
         this.discovery = discovery;
         this.transport = transport;
@@ -151,12 +165,23 @@
         });
     }
 
-    /** Lets a replica with an empty log join; one step for each request, which the replica repeats. */
-    void join(ReplicaId id, String address) {
+    /** Sets where replicas may be found, and the addresses of those that are to leave and must not join. */
+    void surroundings(Set<String> contacts, Set<String> toLeave) {
+        discovery.introduce(contacts);
+        leaving = Set.copyOf(toLeave);
+    }
+
+    /**
+     * Lets a replica join that is no member; one step for each request, which the replica repeats. In a group that
+     * keeps up its voters, a replica that was removed while it was away joins again, if it is needed.
+     */
+    void join(ReplicaId id, String address, boolean emptyLog) {
         events.add(() -> {
             long now = nowMillis();
             if (consensus.role() != Consensus.Role.LEADER
-                    || consensus.membership().find(id) != null) {
+                    || consensus.membership().find(id) != null
+                    || !emptyLog && targetVoters == 0
+                    || leaving.contains(address)) {
                 return;
             }
             for (Member member : consensus.membership().members()) {
@@ -168,14 +193,53 @@
                     return;
                 }
             }
-            joinStep(MemberChange.ADD, id, address, now);
+            if (targetVoters == 0 || countSound(now) < targetVoters) {
+                joinStep(MemberChange.ADD, id, address, now);
+            }
         });
     }
 
+    /** Returns how many members answer and are to stay. */
+    private long countSound(long now) {
+        return consensus.membership().members().stream()
+                .filter(member -> isSound(member, now))
+                .count();
+    }
+
+    private boolean isSound(Member member, long now) {
+        return !leaving.contains(member.address()) && !consensus.isSilent(member.id(), now);
+    }
+
+    /** Removes one member that is silent or is to leave, once enough other voters answer. */
+    private void upkeep(long now) {
+        if (targetVoters == 0 || consensus.role() != Consensus.Role.LEADER || now < upkeepDue) {
+            return;
+        }
+        upkeepDue = now + UPKEEP_MILLIS;
+        List<Member> members = consensus.membership().members();
+        long sound = members.stream()
+                .filter(member -> member.voter() && isSound(member, now))
+                .count();
+        for (Member member : members) {
+            if (isSound(member, now) || member.voter() && sound < targetVoters) {
+                continue;
+            }
+            boolean leads = member.id().equals(consensus.leader());
+            LOG.infof(
+                    "raft: %s %s at %s",
+                    leads ? "Hands over before leaving" : "Removes", member.id(), member.address());
+            process(
+                    leads
+                            ? consensus.transfer(now)
+                            : consensus.change(MemberChange.REMOVE, member.id(), member.address(), now));
+            return;
+        }
+    }
+
     private void joinStep(MemberChange change, ReplicaId id, String address, long now) {
         Output output = consensus.change(change, id, address, now);
         if (output.refusal() == null) {
-            LOG.infof("raft: A replica with an empty log joins at %s: %s %s", address, change, id);
+            LOG.infof("raft: A replica joins at %s: %s %s", address, change, id);
         }
         process(output);
     }
@@ -230,6 +294,7 @@
     private void tick() {
         long now = nowMillis();
         process(consensus.tick(now));
+        upkeep(now);
         boolean emptyLog = consensus.lastIndex() == 0;
         discovery.tick(now, emptyLog, consensus.membership());
         Membership founding = emptyLog ? discovery.founding() : null;
--- a/raft/src/main/java/org/cicadahead/replication/Discovery.java
+++ b/raft/src/main/java/org/cicadahead/replication/Discovery.java
@@ -26,6 +26,7 @@
     private final ReplicaId self;
     private final Transport transport;
     private final Map<String, RaftHelloReply> answers = new ConcurrentHashMap<>();
+    private volatile Set<String> contacts = Set.of();
     private volatile boolean groupExists;
     private long due = Long.MIN_VALUE;
 
@@ -35,6 +36,11 @@
         this.transport = transport;
     }
 
+    /** Sets more addresses at which replicas of the group may be found. */
+    void introduce(Set<String> addresses) {
+        contacts = Set.copyOf(addresses);
+    }
+
     /** Asks all known addresses from time to time. */
     void tick(long nowMillis, boolean emptyLog, Membership membership) {
         if (nowMillis < due) {
@@ -42,6 +48,7 @@
         }
         due = nowMillis + (emptyLog ? EMPTY_INTERVAL_MILLIS : INTERVAL_MILLIS);
         Set<String> addresses = new TreeSet<>(config.members());
+        addresses.addAll(contacts);
         membership.members().forEach(member -> addresses.add(member.address()));
         addresses.remove(config.address());
         RaftHello hello = new RaftHello(self, config.address(), emptyLog);
--- a/raft/src/main/java/org/cicadahead/replication/ReplicatedNode.java
+++ b/raft/src/main/java/org/cicadahead/replication/ReplicatedNode.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -91,7 +92,13 @@
                 folder.id().hashCode() ^ System.nanoTime(),
                 ConsensusLoop.nowMillis());
         Discovery discovery = new Discovery(config, folder.id(), transport);
-        this.loop = new ConsensusLoop(consensus, discovery, transport, pending, new LoopSink());
+        this.loop = new ConsensusLoop(
+                consensus,
+                discovery,
+                transport,
+                pending,
+                new OutputSink(writer, applier, snapshotter, this::fail),
+                config.targetVoters());
     }
 
     /**
@@ -158,15 +165,11 @@
         if (request instanceof RaftHello hello) {
             transport.learn(hello.id(), hello.address());
             responder.reply(new RaftHelloReply(folder.id(), loop.status().lastIndex() > 0));
-            if (hello.joining()) {
-                loop.join(hello.id(), hello.address());
-            }
+            loop.join(hello.id(), hello.address(), hello.joining());
         } else if (request instanceof RaftMessage message) {
             loop.received(message);
         } else {
-            throw new WireException(
-                    WireException.Kind.REMOTE,
-                    "unexpected " + request.getClass().getSimpleName());
+            throw new WireException(WireException.Kind.REMOTE, "unexpected " + request.getClass());
         }
     }
 
@@ -296,6 +299,17 @@
         return change(MemberChange.PROMOTE, id, "");
     }
 
+    /**
+     * Tells where other replicas may be found and which are to leave. The leader of a group that keeps up its voters
+     * removes those once enough other voters answer, and lets them join no more.
+     *
+     * @param contacts host and port of peer servers of replicas
+     * @param leaving host and port of the peer servers of the replicas that are to leave
+     */
+    public void surroundings(Set<String> contacts, Set<String> leaving) {
+        loop.surroundings(contacts, leaving);
+    }
+
     /**
      * Hands leadership over to another voter, if this replica leads.
      *
@@ -394,9 +408,9 @@
     }
 
     private CompletableFuture<Void> change(MemberChange change, ReplicaId id, String address) {
-        CompletableFuture<Message> answer = new CompletableFuture<>();
+        CompletableFuture<Message> answer = openAnswers.add(new CompletableFuture<>());
         loop.change(change, id, address, answer);
-        return openAnswers.add(answer).thenApply(none -> null);
+        return answer.thenApply(none -> null);
     }
 
     private void fail(Exception cause) {
@@ -411,34 +425,6 @@
         }
     }
 
-    private final class LoopSink implements ConsensusLoop.Sink {
-
-        @Override
-        public void write(Output output) {
-            writer.write(output);
-        }
-
-        @Override
-        public void apply(Output output) {
-            if (output.reset() != null) {
-                applier.restore(output.reset());
-            }
-            if (!output.committed().isEmpty()) {
-                applier.apply(output.committed());
-            }
-        }
-
-        @Override
-        public void sendChunk(Output.ChunkSend chunk) {
-            snapshotter.send(chunk);
-        }
-
-        @Override
-        public void failed(Exception cause) {
-            fail(cause);
-        }
-    }
-
     private final class WriterListener implements LogWriter.Listener {
 
         @Override
--- a/raft/src/main/java/org/cicadahead/replication/ReplicationConfig.java
+++ b/raft/src/main/java/org/cicadahead/replication/ReplicationConfig.java
@@ -17,6 +17,8 @@
  * @param snapshotEntries the number of applied entries after which a snapshot is taken
  * @param snapshotBytes the bytes of applied entries after which a snapshot is taken
  * @param keepEntries how many entries that a snapshot covers stay for followers that are a little behind
+ * @param targetVoters the voters that the leader keeps up by itself: replicas beyond them wait as spares, and a silent
+ *     voter is removed once so many others answer; 0 if each replica joins and only operators remove members
  */
 public record ReplicationConfig(
         Path folder,
@@ -27,7 +29,8 @@
         long segmentBytes,
         long snapshotEntries,
         long snapshotBytes,
-        long keepEntries) {
+        long keepEntries,
+        int targetVoters) {
     private static final long SEGMENT_BYTES = 16L * 1024 * 1024;
     private static final long SNAPSHOT_ENTRIES = 20_000;
     private static final long SNAPSHOT_BYTES = 64L * 1024 * 1024;
@@ -68,7 +71,8 @@
                 SEGMENT_BYTES,
                 SNAPSHOT_ENTRIES,
                 SNAPSHOT_BYTES,
-                KEEP_ENTRIES);
+                KEEP_ENTRIES,
+                0);
     }
 
     /**
@@ -80,6 +84,51 @@
      */
     public ReplicationConfig withSnapshots(long entries, long keep) {
         return new ReplicationConfig(
-                folder, address, members, bootstrap, timing, segmentBytes, entries, snapshotBytes, keep);
+                folder, address, members, bootstrap, timing, segmentBytes, entries, snapshotBytes, keep, targetVoters);
+    }
+
+    /**
+     * Returns these settings with snapshots taken after other sizes of the log.
+     *
+     * @param newSegmentBytes the size at which a new log file is begun, in bytes
+     * @param bytes the bytes of applied entries after which a snapshot is taken
+     * @return the settings
+     */
+    public ReplicationConfig withSizes(long newSegmentBytes, long bytes) {
+        return new ReplicationConfig(
+                folder,
+                address,
+                members,
+                bootstrap,
+                timing,
+                newSegmentBytes,
+                snapshotEntries,
+                bytes,
+                keepEntries,
+                targetVoters);
+    }
+
+    /**
+     * Returns these settings for a group that keeps up the number of its voters by itself.
+     *
+     * @param voters the number of voters to keep up
+     * @return the settings
+     * @throws IllegalArgumentException if the number is not positive
+     */
+    public ReplicationConfig withTargetVoters(int voters) {
+        if (voters <= 0) {
+            throw new IllegalArgumentException("The voters must be positive: " + voters);
+        }
+        return new ReplicationConfig(
+                folder,
+                address,
+                members,
+                bootstrap,
+                timing,
+                segmentBytes,
+                snapshotEntries,
+                snapshotBytes,
+                keepEntries,
+                voters);
     }
 }
--- a/raft/src/test/java/org/cicadahead/replication/TestGroup.java
+++ b/raft/src/test/java/org/cicadahead/replication/TestGroup.java
@@ -57,7 +57,7 @@
         void start(long segmentBytes, long snapshotEntries, long keep) throws Exception {
             machine = new RegisterMachine();
             ReplicationConfig config = new ReplicationConfig(
-                    data, address, addresses, true, Timing.standard(), segmentBytes, snapshotEntries, 1 << 26, keep);
+                    data, address, addresses, true, Timing.standard(), segmentBytes, snapshotEntries, 1 << 26, keep, 0);
             node = ReplicatedNode.start(config, machine, CATALOG);
             ReplicatedNode current = node;
             PeerHandler handler = (request, responder) -> {
