Share rates by demand under leases, give back what did not run, serve programs under way first

Ruled out: a larger shared part (0.75: more refusals), a longer wait (the answer of the leader comes in 4 ms).

--- a/core/src/main/java/org/cicadahead/fleet/AllotmentNeed.java
+++ b/core/src/main/java/org/cicadahead/fleet/AllotmentNeed.java
@@ -1,5 +1,7 @@
 package org.cicadahead.fleet;
 
+import java.util.Map;
+
 /**
  * What an entry needs of an organisation's rate, and what it holds. Immutable.
  *
@@ -7,7 +9,19 @@
  * @param demandPerSecond the requests per second that the entry sees
  * @param heldRate the share of the rate that it holds, per second; 0 if its lease has ended
  * @param heldBurst the share of the burst that it holds
- * @param urgent how many requests wait for want of a share
+ * @param spilled the requests that its shares allowed and that it did not need, since it started
+ * @param urgent how many requests wait for want of a share, by their standing
  */
 public record AllotmentNeed(
-        String organisation, double demandPerSecond, double heldRate, double heldBurst, int urgent) {}
+        String organisation,
+        double demandPerSecond,
+        double heldRate,
+        double heldBurst,
+        double spilled,
+        Map<Standing, Integer> urgent) {
+
+    /** Copies the map. */
+    public AllotmentNeed {
+        urgent = urgent == null ? Map.of() : Map.copyOf(urgent);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cicadahead/fleet/Standing.java
@@ -0,0 +1,33 @@
+package org.cicadahead.fleet;
+
+/**
+ * How much is lost if a request of a program is refused. The order is that of service.
+ *
+ * <p>Answers a load beyond an organisation's rate: what is left goes first to programs that are under way, so that some
+ * programs finish instead of all being broken off.
+ */
+public enum Standing {
+    /** A call whose refusal ends its program, or a request of no program. */
+    CALL(0),
+    /** A turn of a program that is under way. */
+    UNDER_WAY(0.08),
+    /** The first turn of a program. */
+    BEGINNING(0.25),
+    /** A turn of a program that sends far more requests than programs do. */
+    EXCESSIVE(0.5);
+
+    private final double floor;
+
+    Standing(double floor) {
+        this.floor = floor;
+    }
+
+    /**
+     * Returns the part of the burst that is left to requests that go before.
+     *
+     * @return the part, from 0 to 1
+     */
+    public double floor() {
+        return floor;
+    }
+}
--- a/gateway/src/main/java/org/cicadahead/allotment/AllotmentTable.java
+++ b/gateway/src/main/java/org/cicadahead/allotment/AllotmentTable.java
@@ -20,7 +20,7 @@
     public static final long LEASE_MILLIS = 5_000;
 
     /** The part of rate and burst that is shared under leases; the rest serves uneven and new demand. */
-    static final double SHARED_PART = 0.75;
+    static final double SHARED_PART = 0.5;
 
     private final long beganMillis;
     private final Map<String, OrganisationShares> organisations = new HashMap<>();
--- a/gateway/src/main/java/org/cicadahead/allotment/LocalAllotment.java
+++ b/gateway/src/main/java/org/cicadahead/allotment/LocalAllotment.java
@@ -1,7 +1,9 @@
 package org.cicadahead.allotment;
 
+import java.util.Map;
 import org.cicadahead.fleet.Allotment;
 import org.cicadahead.fleet.AllotmentNeed;
+import org.cicadahead.fleet.Standing;
 
 /**
  * The share of one organisation's rate at one entry. Not safe for use by several threads.
@@ -20,6 +22,7 @@
     private double rate;
     private double burst;
     private double tokens;
+    private double spilled;
     private long refilledMillis;
     private long expiresMillis;
     private int extra;
@@ -55,14 +58,15 @@
     }
 
     /**
-     * Admits a request if there is a token for it.
+     * Admits a request if there is a token for its standing.
      *
+     * @param standing the standing of the request
      * @param nowMillis monotonic time in milliseconds
      * @return true if it is admitted
      */
-    public boolean tryTake(long nowMillis) {
+    public boolean tryTake(Standing standing, long nowMillis) {
         refill(nowMillis);
-        if (tokens >= 1) {
+        if (tokens >= 1 + standing.floor() * burst) {
             tokens--;
             return true;
         }
@@ -73,6 +77,20 @@
         return false;
     }
 
+    /**
+     * Takes back the token of a request that was admitted and did not run.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void giveBack(long nowMillis) {
+        refill(nowMillis);
+        if (nowMillis < expiresMillis) {
+            double next = tokens + 1;
+            tokens = Math.min(burst, next);
+            spilled += next - tokens;
+        }
+    }
+
     /**
      * Takes a share from the leader. A larger burst adds only the tokens that come with it, as another entry may have
      * used the rest.
@@ -113,14 +131,15 @@
     /**
      * Returns what to tell the leader.
      *
-     * @param urgent how many requests wait
+     * @param urgent how many requests wait, by their standing
      * @param nowMillis monotonic time in milliseconds
      * @return the line
      */
-    public AllotmentNeed need(int urgent, long nowMillis) {
+    public AllotmentNeed need(Map<Standing, Integer> urgent, long nowMillis) {
         decay(nowMillis);
+        refill(nowMillis);
         boolean held = nowMillis < expiresMillis;
-        return new AllotmentNeed(organisation, demand, held ? rate : 0, held ? burst : 0, urgent);
+        return new AllotmentNeed(organisation, demand, held ? rate : 0, held ? burst : 0, spilled, urgent);
     }
 
     /**
@@ -156,7 +175,9 @@
     private void refill(long nowMillis) {
         long until = Math.min(nowMillis, expiresMillis);
         if (until > refilledMillis) {
-            tokens = Math.min(burst, tokens + rate * (until - refilledMillis) / MILLIS_PER_SECOND);
+            double next = tokens + rate * (until - refilledMillis) / MILLIS_PER_SECOND;
+            tokens = Math.min(burst, next);
+            spilled += next - tokens;
         }
         refilledMillis = Math.max(refilledMillis, nowMillis);
         if (nowMillis >= expiresMillis) {
--- a/gateway/src/main/java/org/cicadahead/allotment/OrganisationShares.java
+++ b/gateway/src/main/java/org/cicadahead/allotment/OrganisationShares.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.cicadahead.fleet.Allotment;
 import org.cicadahead.fleet.AllotmentNeed;
+import org.cicadahead.fleet.Standing;
 import org.cicadahead.site.SiteOrganisation;
 
 /** The shares of one organisation at all entries. */
@@ -13,6 +14,12 @@
     /** The weight of an entry without demand against one with the mean demand, so that it can begin to serve. */
     private static final double IDLE_WEIGHT = 0.05;
 
+    /** A share is at most this much above the demand, so that the rest is there for all. */
+    private static final double DEMAND_ROOM = 1.3;
+    /** A share's burst, in seconds of its rate; larger bursts are served from what is not shared. */
+    private static final double BURST_SECONDS = 0.3;
+
+    private static final double UNKNOWN = -1;
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Map<String, Share> shares = new HashMap<>();
@@ -27,6 +34,7 @@
         private double grantedRate;
         private double grantedBurst;
         private double demand;
+        private double spilled = UNKNOWN;
         private long expiresMillis;
     }
 
@@ -41,6 +49,7 @@
         Share share = shares.computeIfAbsent(entry, name -> new Share());
         share.demand += DEMAND_GAIN * (need.demandPerSecond() - share.demand);
         confirm(share, need);
+        takeBack(share, need.spilled(), limits.burst());
         double rateRoom = limits.ratePerSecond() * AllotmentTable.SHARED_PART - othersRate(share);
         double burstRoom = limits.burst() * AllotmentTable.SHARED_PART - othersBurst(share);
         if (nowMillis < adoptUntilMillis) {
@@ -48,11 +57,11 @@
             rateRoom = Math.min(rateRoom, need.heldRate());
             burstRoom = Math.min(burstRoom, need.heldBurst());
         }
-        double part = part(share);
-        double rate = Math.max(0, Math.min(rateRoom, limits.ratePerSecond() * AllotmentTable.SHARED_PART * part));
-        double burst =
-                Math.max(0, Math.min(burstRoom, Math.max(1, limits.burst() * AllotmentTable.SHARED_PART * part)));
+        double fair = limits.ratePerSecond() * AllotmentTable.SHARED_PART * part(share);
+        double rate = Math.max(0, Math.min(rateRoom, Math.min(fair, DEMAND_ROOM * share.demand)));
+        double burst = Math.max(0, Math.min(burstRoom, Math.max(1, BURST_SECONDS * rate)));
         if (burst < 1) {
+            rate = 0;
             burst = 0;
         }
         double tokens = Math.max(0, Math.min(reserveTokens, burst - share.burst));
@@ -62,7 +71,7 @@
         share.rate = Math.max(share.rate, rate);
         share.burst = Math.max(share.burst, burst);
         share.expiresMillis = nowMillis + AllotmentTable.LEASE_MILLIS;
-        return new Allotment(need.organisation(), rate, burst, tokens, takeReserve(need.urgent()));
+        return new Allotment(need.organisation(), rate, burst, tokens, takeReserve(need.urgent(), limits.burst()));
     }
 
     /** An entry that holds what it was granted last holds nothing more; else it may still hold what it had before. */
@@ -72,6 +81,14 @@
         share.burst = took ? share.grantedBurst : Math.max(share.burst, need.heldBurst());
     }
 
+    /** Adds what the entry has left over since its last ask to the reserve; the first tells only where it stands. */
+    private void takeBack(Share share, double spilled, double burst) {
+        if (share.spilled >= 0 && spilled > share.spilled) {
+            reserveTokens = Math.min(burst - othersBurst(null), reserveTokens + spilled - share.spilled);
+        }
+        share.spilled = Math.max(share.spilled, spilled);
+    }
+
     /** Returns the part of the shared rate that fits the entry's part of the demand. */
     private double part(Share share) {
         double sum = shares.values().stream().mapToDouble(each -> each.demand).sum();
@@ -105,9 +122,15 @@
         refilledMillis = nowMillis;
     }
 
-    private int takeReserve(int wanted) {
-        int taken = (int) Math.max(0, Math.min(wanted, Math.floor(reserveTokens)));
-        reserveTokens -= taken;
+    /** Serves waiting requests in the order of their standing, and leaves the rest to those that go before. */
+    private int takeReserve(Map<Standing, Integer> urgent, double burst) {
+        int taken = 0;
+        for (Standing standing : Standing.values()) {
+            double available = Math.floor(reserveTokens - standing.floor() * burst);
+            int granted = (int) Math.max(0, Math.min(urgent.getOrDefault(standing, 0), available));
+            reserveTokens -= granted;
+            taken += granted;
+        }
         return taken;
     }
 }
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
@@ -11,6 +11,7 @@
     private final RateGate rates;
     private final TurnStores stores;
     private final TurnTexts texts = new TurnTexts();
+    private final ProgramCensus programs = new ProgramCensus();
     private final EndpointClient endpoints;
     private final GatewayCounters counters;
     private final DecisionLog decisions;
@@ -54,6 +55,10 @@
         return texts;
     }
 
+    ProgramCensus programs() {
+        return programs;
+    }
+
     EndpointClient endpoints() {
         return endpoints;
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
@@ -135,7 +135,10 @@
         return stopping;
     }
 
-    /** Serves on until the balancer has noticed, then waits for what still runs. */
+    /**
+     * Serves on until the balancer has noticed, then waits for what still runs. The process is to end at once
+     * afterwards, as each moment more takes requests that are then lost.
+     */
     @Override
     public void shutdown(long timeoutMillis) {
         stopping = true;
@@ -153,7 +156,14 @@
             Thread.currentThread().interrupt();
         }
         LOG.infof("gateway: Stopped, %d requests are cut off", context.active().get());
-        close();
+    }
+
+    /** Closes all connections to hubs and stores. What still runs fails. */
+    public void close() {
+        timer.shutdownNow();
+        watch.close();
+        stores.stop();
+        hubs.close();
     }
 
     private void begin() {
@@ -188,13 +198,6 @@
         }
     }
 
-    private void close() {
-        timer.shutdownNow();
-        watch.close();
-        stores.stop();
-        hubs.close();
-    }
-
     private final class HubListener implements FleetListener {
 
         @Override
--- a/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
@@ -1,11 +1,11 @@
 package org.cicadahead.gateway;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -14,6 +14,7 @@
 import org.cicadahead.fleet.AllotmentNeed;
 import org.cicadahead.fleet.Allotments;
 import org.cicadahead.fleet.AskAllotments;
+import org.cicadahead.fleet.Standing;
 import org.cicadahead.model.RefusalReason;
 import org.cicadahead.site.SiteConfiguration;
 import org.cicadahead.site.SiteOrganisation;
@@ -26,11 +27,14 @@
 final class RateGate {
     /** How often shares are renewed, in milliseconds; a fifth of the lease, so that some answers may be lost. */
     static final long RENEW_MILLIS = 1_000;
-    /** The least time between two asks, in milliseconds: a few round trips. */
-    static final long ASK_GAP_MILLIS = 15;
+    /** The least time between two asks, in milliseconds: about a round trip. */
+    static final long ASK_GAP_MILLIS = 3;
     /** How long a request may wait for a share, in milliseconds; an answer of the leader takes a few. */
     static final long WAIT_MILLIS = 150;
 
+    /** Below the number of any waiter. */
+    private static final long NOT_ASKED = 0;
+
     private static final Logger LOG = Logger.getLogger("cicadahead.gateway");
 
     private final String entry;
@@ -40,20 +44,28 @@
     private long askedMillis = Long.MIN_VALUE / 2;
     private boolean asking;
     private boolean siteChanged;
+    private long lastWaiter;
 
     /** The leader of the hubs as the gate asks it. */
     interface HubLeader {
         CompletableFuture<Allotments> ask(AskAllotments ask);
     }
 
-    private record Waiter(Consumer<GatewayRefusal> decision, long untilMillis) {}
+    private record Waiter(Standing standing, long number, Consumer<GatewayRefusal> decision, long untilMillis)
+            implements Comparable<Waiter> {
+        @Override
+        public int compareTo(Waiter other) {
+            int order = standing.compareTo(other.standing);
+            return order != 0 ? order : Long.compare(number, other.number);
+        }
+    }
 
     private record Decided(Consumer<GatewayRefusal> decision, GatewayRefusal refusal) {}
 
     /** What is known of one organisation. */
     private static final class Shares {
         private final LocalAllotment allotment;
-        private final Deque<Waiter> waiters = new ArrayDeque<>();
+        private final TreeSet<Waiter> waiters = new TreeSet<>();
         private double rate;
         private boolean leaderMissing;
 
@@ -69,7 +81,7 @@
     }
 
     /** Decides on a request; the decision is null if it is admitted. */
-    void admit(SiteOrganisation organisation, Consumer<GatewayRefusal> decision) {
+    void admit(SiteOrganisation organisation, Standing standing, Consumer<GatewayRefusal> decision) {
         if (organisation == null || !organisation.limited()) {
             decision.accept(null);
             return;
@@ -81,9 +93,9 @@
                     organisation.name(), name -> new Shares(LocalAllotment.create(name, now)));
             shares.rate = organisation.ratePerSecond();
             shares.allotment.arrived(now);
-            admitted = shares.waiters.isEmpty() && shares.allotment.tryTake(now);
+            admitted = isNext(shares, standing) && shares.allotment.tryTake(standing, now);
             if (!admitted) {
-                shares.waiters.add(new Waiter(decision, now + WAIT_MILLIS));
+                shares.waiters.add(new Waiter(standing, ++lastWaiter, decision, now + WAIT_MILLIS));
             }
         }
         if (admitted) {
@@ -93,6 +105,18 @@
         }
     }
 
+    /** Takes back what a request was admitted with that did not run. */
+    void giveBack(SiteOrganisation organisation) {
+        if (organisation != null && organisation.limited()) {
+            synchronized (this) {
+                Shares shares = organisations.get(organisation.name());
+                if (shares != null) {
+                    shares.allotment.giveBack(clock.getAsLong());
+                }
+            }
+        }
+    }
+
     /** Follows a change of the configuration: a lower rate holds at once, the rest is for the leader to say. */
     void configured(SiteConfiguration site) {
         long now = clock.getAsLong();
@@ -118,7 +142,7 @@
         List<Decided> decided = new ArrayList<>();
         boolean due;
         synchronized (this) {
-            organisations.values().forEach(shares -> drain(shares, false, decided, now));
+            organisations.values().forEach(shares -> drain(shares, NOT_ASKED, decided, now));
             organisations.values().removeIf(shares -> shares.waiters.isEmpty() && shares.allotment.isIdle(now));
             due = !organisations.isEmpty()
                     && (now - askedMillis >= RENEW_MILLIS
@@ -133,21 +157,23 @@
 
     private void ask(long now) {
         AskAllotments ask;
+        long asked;
         synchronized (this) {
             if (asking || now - askedMillis < ASK_GAP_MILLIS) {
                 return;
             }
             asking = true;
+            asked = lastWaiter;
             siteChanged = false;
             askedMillis = now;
             List<AllotmentNeed> needs = new ArrayList<>();
-            organisations.values().forEach(shares -> needs.add(shares.allotment.need(shares.waiters.size(), now)));
+            organisations.values().forEach(shares -> needs.add(shares.allotment.need(urgent(shares), now)));
             ask = new AskAllotments(entry, needs);
         }
-        leader.ask(ask).whenComplete((reply, failure) -> answered(reply, failure, now));
+        leader.ask(ask).whenComplete((reply, failure) -> answered(reply, failure, now, asked));
     }
 
-    private void answered(Allotments reply, Throwable failure, long sentMillis) {
+    private void answered(Allotments reply, Throwable failure, long sentMillis, long askedWaiter) {
         long now = clock.getAsLong();
         List<Decided> decided = new ArrayList<>();
         synchronized (this) {
@@ -161,23 +187,44 @@
                     if (shares != null) {
                         shares.leaderMissing = false;
                         shares.allotment.allot(share, sentMillis, reply.validMillis(), now);
-                        drain(shares, true, decided, now);
+                        drain(shares, askedWaiter, decided, now);
                     }
                 }
             }
         }
         tell(decided);
+        if (failure == null && isWaitedFor()) {
+            ask(now);
+        }
+    }
+
+    private synchronized boolean isWaitedFor() {
+        return organisations.values().stream().anyMatch(shares -> !shares.waiters.isEmpty());
+    }
+
+    private static boolean isNext(Shares shares, Standing standing) {
+        return shares.waiters.isEmpty() || shares.waiters.first().standing.compareTo(standing) > 0;
+    }
+
+    private static Map<Standing, Integer> urgent(Shares shares) {
+        Map<Standing, Integer> urgent = new EnumMap<>(Standing.class);
+        shares.waiters.forEach(waiter -> urgent.merge(waiter.standing, 1, Integer::sum));
+        return urgent;
     }
 
-    /** Admits waiting requests in their order, and refuses those that cannot be admitted in time. */
-    private static void drain(Shares shares, boolean answered, List<Decided> decided, long now) {
-        while (!shares.waiters.isEmpty() && shares.allotment.tryTake(now)) {
-            decided.add(new Decided(shares.waiters.poll().decision, null));
+    /**
+     * Admits waiting requests in their order, and refuses those that cannot be admitted in time: of those that the
+     * leader was asked for, the ones that it has no share for; of all, those that have waited for long.
+     */
+    private static void drain(Shares shares, long askedWaiter, List<Decided> decided, long now) {
+        while (!shares.waiters.isEmpty() && shares.allotment.tryTake(shares.waiters.first().standing, now)) {
+            decided.add(new Decided(shares.waiters.pollFirst().decision, null));
         }
         long position = 0;
         for (var left = shares.waiters.iterator(); left.hasNext(); ) {
             Waiter waiter = left.next();
             long turnMillis = shares.allotment.retryAfterMillis(now) * ++position;
+            boolean answered = waiter.number <= askedWaiter;
             boolean tooFar = answered && now + turnMillis > waiter.untilMillis;
             if (tooFar || now >= waiter.untilMillis) {
                 left.remove();
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
@@ -1,5 +1,6 @@
 package org.cicadahead.gateway;
 
+import org.cicadahead.fleet.Standing;
 import org.cicadahead.site.SiteIndex;
 
 /**
@@ -22,7 +23,9 @@
         }
         scope.trail().admitted(admitted, index.site().version());
         scope.expireAt(admitted.deadlineMillis());
-        context.rates().admit(admitted.organisation(), refusal -> rated(scope, admitted, refusal));
+        Standing standing = context.programs().standing(admitted, caller.receivedMillis());
+        scope.trail().standing(standing);
+        context.rates().admit(admitted.organisation(), standing, refusal -> rated(scope, admitted, refusal));
     }
 
     private static void rated(RequestScope scope, AdmittedRequest admitted, GatewayRefusal refusal) {
@@ -31,6 +34,7 @@
             return;
         }
         if (scope.isDone()) {
+            scope.context().rates().giveBack(admitted.organisation());
             return;
         }
         scope.trail().rated(scope.context().nowMillis());
--- a/gateway/src/main/java/org/cicadahead/gateway/Trail.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/Trail.java
@@ -6,6 +6,7 @@
 import java.io.StringWriter;
 import java.util.ArrayList;
 import java.util.List;
+import org.cicadahead.fleet.Standing;
 
 /** What was decided on one request, written as one line at its end. Not safe for use by several threads. */
 final class Trail {
@@ -15,6 +16,7 @@
     private final List<Attempt> attempts = new ArrayList<>();
     private AdmittedRequest admitted;
     private long siteVersion;
+    private Standing standing;
     private long rateMillis = -1;
     private long openMillis = -1;
 
@@ -29,6 +31,10 @@
         siteVersion = version;
     }
 
+    void standing(Standing value) {
+        standing = value;
+    }
+
     void rated(long nowMillis) {
         rateMillis = nowMillis - caller.receivedMillis();
     }
@@ -60,6 +66,9 @@
                 json.writeStringField("organisation", admitted.organisationName());
                 json.writeNumberField("site_version", siteVersion);
             }
+            if (standing != null) {
+                json.writeStringField("standing", standing.name());
+            }
             json.writeStringField("outcome", outcome);
             json.writeNumberField("status", status);
             json.writeNumberField("ms", nowMillis - caller.receivedMillis());
--- a/gateway/src/main/java/org/cicadahead/gateway/TurnSession.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/TurnSession.java
@@ -52,6 +52,7 @@
         scope.context().stores().open(open, Math.max(1, timeout)).whenComplete((opened, failure) -> {
             if (failure != null) {
                 session.settle(0);
+                scope.context().rates().giveBack(admitted.organisation());
                 scope.refuse(RefusalReason.STORES_UNAVAILABLE);
             } else {
                 session.opened(opened, known);
@@ -107,6 +108,7 @@
         if (opened.verdict() == TurnOpened.Verdict.OPEN) {
             run(opened.history() == null ? known : opened.history());
         } else {
+            scope.context().rates().giveBack(admitted.organisation());
             boolean spent = opened.verdict() == TurnOpened.Verdict.BUDGET_SPENT;
             scope.refuse(spent ? RefusalReason.BUDGET_EXHAUSTED : RefusalReason.TURN_UNKNOWN);
         }
