--- a/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
@@ -217,14 +217,18 @@
      * leader was asked for, the ones that it has no share for; of all, those that have waited for long.
      */
     private static void drain(Shares shares, long askedWaiter, List<Decided> decided, long now) {
+        long overtaken = 0;
         while (!shares.waiters.isEmpty() && shares.allotment.tryTake(shares.waiters.first().standing, now)) {
-            decided.add(new Decided(shares.waiters.pollFirst().decision, null));
+            Waiter first = shares.waiters.pollFirst();
+            overtaken += first.number > askedWaiter ? 1 : 0;
+            decided.add(new Decided(first.decision, null));
         }
         long position = 0;
         for (var left = shares.waiters.iterator(); left.hasNext(); ) {
             Waiter waiter = left.next();
             long turnMillis = shares.allotment.retryAfterMillis(now) * ++position;
-            boolean answered = waiter.number <= askedWaiter;
+            // What was granted for a request went to one that came later and goes before, so it is asked for again.
+            boolean answered = waiter.number <= askedWaiter && overtaken-- <= 0;
             boolean tooFar = answered && now + turnMillis > waiter.untilMillis;
             if (tooFar || now >= waiter.untilMillis) {
                 left.remove();
--- a/gateway/src/main/java/org/cicadahead/hub/HubNode.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubNode.java
@@ -30,6 +30,7 @@
 import org.cicadahead.node.NodeException;
 import org.cicadahead.placement.EndpointRoster;
 import org.cicadahead.protocol.MessageCatalog;
+import org.cicadahead.raft.Timing;
 import org.cicadahead.replication.ReplicatedNode;
 import org.cicadahead.replication.ReplicationConfig;
 import org.cicadahead.replication.ReplicationException;
@@ -68,7 +69,7 @@
     private final MessageCatalog catalog = ReplicatedNode.catalog(FleetMessages.catalog(MessageCatalog.standard()));
     private final Watchers watchers;
     private final ControlClient hubs;
-    private ReplicatedNode log;
+    private volatile ReplicatedNode log;
     private PeerServer server;
     private FleetWatch watch;
     private ControlClient stores;
@@ -194,20 +195,9 @@
     }
 
     private void begin(MetricRegistry metrics) throws ReplicationException, WireException {
-        SiteStateMachine machine = new SiteStateMachine(watchers::agreed);
-        boolean founds = config.bootstrap() && config.seeds().contains(config.address());
-        ReplicationConfig replication = ReplicationConfig.of(
-                        config.dataFolder().resolve("hub"), config.address(), config.seeds(), founds)
-                .withSizes(SEGMENT_BYTES, SNAPSHOT_BYTES)
-                .withTargetVoters(2 * config.faultsTolerated() + 1);
-        log = ReplicatedNode.start(replication, machine, catalog);
         HubService service = new HubService(
-                log,
-                machine,
-                watchers,
-                this::storeMembers,
-                2 * config.faultsTolerated() + 1,
-                ReplicatedNode::monotonicMillis);
+                watchers, this::storeMembers, 2 * config.faultsTolerated() + 1, ReplicatedNode::monotonicMillis);
+        startReplica(service, config.bootstrap() && config.seeds().contains(config.address()));
         server = PeerServer.start(Addresses.parse(config.address()), catalog, workers, service);
         watch = FleetWatch.start(
                 new DaemonPlace(config.name(), FleetRole.HUB, config.zone(), config.address()),
@@ -218,12 +208,40 @@
         timer.scheduleWithFixedDelay(() -> tick(service), ALIVE_MILLIS, ALIVE_MILLIS, TimeUnit.MILLISECONDS);
         metrics.gauge("hub.term", () -> () -> log.counters().term());
         metrics.gauge("hub.commit_index", () -> () -> log.counters().commitIndex());
-        metrics.gauge("hub.site_version", () -> () -> machine.state().version());
         LOG.infof("hub: Replica %s started at %s", log.id(), config.address());
     }
 
+    private void startReplica(HubService service, boolean founds) throws ReplicationException {
+        SiteStateMachine machine = new SiteStateMachine(watchers::agreed);
+        ReplicationConfig replication = ReplicationConfig.of(
+                        config.dataFolder().resolve("hub"), config.address(), config.seeds(), founds)
+                .withTiming(Timing.withinRegion())
+                .withSizes(SEGMENT_BYTES, SNAPSHOT_BYTES)
+                .withTargetVoters(2 * config.faultsTolerated() + 1);
+        log = ReplicatedNode.start(replication, machine, catalog);
+        service.serve(log, machine);
+    }
+
+    /** Starts a replica again that has stopped because its disk refused a write; it has lost nothing that is synced. */
+    private void revive(HubService service) {
+        ReplicatedNode stopped = log;
+        if (stopping || stopped.failure() == null) {
+            return;
+        }
+        LOG.warnf(
+                "hub: The replica has stopped and is started again: %s",
+                stopped.failure().getMessage());
+        stopped.close();
+        try {
+            startReplica(service, false);
+        } catch (ReplicationException e) {
+            LOG.warnf("hub: The replica cannot start yet: %s", e.getMessage());
+        }
+    }
+
     private void tick(HubService service) {
         try {
+            revive(service);
             watchers.tellAlive(ReplicatedNode.monotonicMillis());
             service.foundStores();
         } catch (RuntimeException e) {
--- a/gateway/src/main/java/org/cicadahead/hub/HubService.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubService.java
@@ -36,33 +36,34 @@
 final class HubService implements PeerHandler {
     private static final Logger LOG = Logger.getLogger("cicadahead.hub");
 
-    private final ReplicatedNode log;
-    private final SiteStateMachine machine;
     private final Watchers watchers;
     private final StoreGroup stores;
     private final LongSupplier clock;
     private final int storesNeeded;
     private final Object allotmentLock = new Object();
+    private volatile ReplicatedNode log;
+    private volatile SiteStateMachine machine;
     private AllotmentTable allotments;
     private long allotmentTerm = -1;
 
-    HubService(
-            ReplicatedNode log,
-            SiteStateMachine machine,
-            Watchers watchers,
-            StoreGroup stores,
-            int storesNeeded,
-            LongSupplier clock) {
-        this.log = log;
-        this.machine = machine;
+    HubService(Watchers watchers, StoreGroup stores, int storesNeeded, LongSupplier clock) {
         this.watchers = watchers;
         this.stores = stores;
         this.storesNeeded = storesNeeded;
         this.clock = clock;
     }
 
+    /** Serves with a replica from now on. */
+    void serve(ReplicatedNode started, SiteStateMachine state) {
+        machine = state;
+        log = started;
+    }
+
     @Override
     public void handle(Message request, Responder responder) throws WireException {
+        if (log == null) {
+            throw new WireException(WireException.Kind.REMOTE, "the hub is starting");
+        }
         if (ReplicatedNode.handles(request)) {
             log.handle(request, responder);
         } else if (request instanceof WatchFleet watch) {
--- a/gateway/src/main/java/org/cicadahead/hub/Watchers.java
+++ b/gateway/src/main/java/org/cicadahead/hub/Watchers.java
@@ -77,6 +77,10 @@
     /** Tells a change of what the hubs agree on. */
     synchronized void agreed(SiteState next) {
         SiteState before = state;
+        if (next.version() < before.version()) {
+            // A replica that is started again passes through older states.
+            return;
+        }
         state = next;
         boolean retired = !next.retired().equals(before.retired());
         tell(new FleetUpdate(
--- a/gateway/src/main/java/org/cicadahead/store/StoreNode.java
+++ b/gateway/src/main/java/org/cicadahead/store/StoreNode.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.cicadahead.fleet.DaemonPlace;
 import org.cicadahead.fleet.FleetMessages;
 import org.cicadahead.fleet.FleetRole;
@@ -17,6 +18,7 @@
 import org.cicadahead.node.Node;
 import org.cicadahead.node.NodeException;
 import org.cicadahead.protocol.MessageCatalog;
+import org.cicadahead.raft.Timing;
 import org.cicadahead.replication.ReplicatedNode;
 import org.cicadahead.replication.ReplicationConfig;
 import org.cicadahead.replication.ReplicationException;
@@ -38,6 +40,9 @@
     private static final String LOG_FOLDER = "turns";
     private static final long SEGMENT_BYTES = 8L * 1024 * 1024;
     private static final long SNAPSHOT_BYTES = 24L * 1024 * 1024;
+    /** How often a stopped replica is tried again, in milliseconds. */
+    private static final long REVIVE_MILLIS = 500;
+
     private static final int WORKERS = 4;
 
     private static final Logger LOG = Logger.getLogger("cicadahead.store");
@@ -47,10 +52,10 @@
     private final ScheduledExecutorService timer =
             Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("store-timer"));
     private final MessageCatalog catalog = ReplicatedNode.catalog(FleetMessages.catalog(MessageCatalog.standard()));
-    private final TurnStateMachine machine = new TurnStateMachine();
-    private final StoreService service = new StoreService(machine);
+    private final StoreService service = new StoreService();
     private final Set<String> known = new TreeSet<>();
     private Set<String> retired = Set.of();
+    private volatile TurnStateMachine machine = new TurnStateMachine();
     private ReplicatedNode log;
     private PeerServer server;
     private FleetWatch watch;
@@ -123,8 +128,9 @@
                 catalog,
                 timer,
                 new HubListener());
-        metrics.gauge("store.turns", () -> machine::turns);
-        metrics.gauge("store.budgets", () -> machine::budgets);
+        metrics.gauge("store.turns", () -> () -> machine.turns());
+        metrics.gauge("store.budgets", () -> () -> machine.budgets());
+        timer.scheduleWithFixedDelay(this::revive, REVIVE_MILLIS, REVIVE_MILLIS, TimeUnit.MILLISECONDS);
         LOG.infof("store: %s started at %s", config.name(), config.address());
     }
 
@@ -138,13 +144,33 @@
                         config.address(),
                         members.stream().toList(),
                         founds)
+                .withTiming(Timing.withinRegion())
                 .withSizes(SEGMENT_BYTES, SNAPSHOT_BYTES)
                 .withTargetVoters(2 * config.faultsTolerated() + 1);
-        log = ReplicatedNode.start(replication, machine, catalog);
-        service.serve(log);
+        TurnStateMachine fresh = new TurnStateMachine();
+        log = ReplicatedNode.start(replication, fresh, catalog);
+        machine = fresh;
+        service.serve(log, fresh);
         LOG.infof("store: Replica %s %s", log.id(), founds ? "founds the group" : "takes part in the group");
     }
 
+    /** Starts a replica again that has stopped because its disk refused a write; it has lost nothing that is synced. */
+    private synchronized void revive() {
+        if (stopping || log == null || log.failure() == null) {
+            return;
+        }
+        LOG.warnf(
+                "store: The replica has stopped and is started again: %s",
+                log.failure().getMessage());
+        log.close();
+        try {
+            join(known, false);
+            log.surroundings(known, retired);
+        } catch (ReplicationException e) {
+            LOG.warnf("store: The replica cannot start yet: %s", e.getMessage());
+        }
+    }
+
     private synchronized void updated(FleetUpdate update) {
         if (stopping) {
             return;
--- a/gateway/src/main/java/org/cicadahead/store/StoreService.java
+++ b/gateway/src/main/java/org/cicadahead/store/StoreService.java
@@ -20,30 +20,28 @@
 final class StoreService implements PeerHandler {
     private static final long MEMBERS_MILLIS = 500;
 
-    private final TurnStateMachine machine;
-    private volatile ReplicatedNode log;
+    private volatile Replica replica;
 
-    StoreService(TurnStateMachine machine) {
-        this.machine = machine;
-    }
+    private record Replica(ReplicatedNode log, TurnStateMachine machine) {}
 
-    /** Begins to serve. */
-    void serve(ReplicatedNode started) {
-        log = started;
+    /** Begins to serve with a replica. */
+    void serve(ReplicatedNode log, TurnStateMachine machine) {
+        replica = new Replica(log, machine);
     }
 
     @Override
     public void handle(Message request, Responder responder) throws WireException {
-        ReplicatedNode current = log;
-        if (current == null) {
+        Replica serving = replica;
+        if (serving == null) {
             throw new WireException(WireException.Kind.REMOTE, "the store has not joined its group yet");
         }
+        ReplicatedNode current = serving.log;
         if (ReplicatedNode.handles(request)) {
             current.handle(request, responder);
         } else if (!current.isLeader()) {
             responder.reply(new NotLeader(current.leaderAddress()));
         } else if (request instanceof OpenTurn open) {
-            open(current, open, responder);
+            open(serving, open, responder);
         } else if (request instanceof CloseTurn) {
             propose(current, (CloseTurn) request, responder);
         } else if (request instanceof ReadStoreMembers) {
@@ -53,8 +51,8 @@
         }
     }
 
-    private void open(ReplicatedNode current, OpenTurn request, Responder responder) {
-        current.propose(request).whenComplete((reply, failure) -> {
+    private static void open(Replica serving, OpenTurn request, Responder responder) {
+        serving.log.propose(request).whenComplete((reply, failure) -> {
             if (failure != null) {
                 responder.fail(failure.getMessage());
                 return;
@@ -63,7 +61,8 @@
             boolean wanted = opened.verdict() == TurnOpened.Verdict.OPEN
                     && !request.previous().isEmpty()
                     && !request.knowsPrevious();
-            responder.reply(wanted ? new TurnOpened(opened.verdict(), machine.history(request.previous())) : opened);
+            responder.reply(
+                    wanted ? new TurnOpened(opened.verdict(), serving.machine.history(request.previous())) : opened);
         });
     }
 
--- /dev/null
+++ b/gateway/src/test/java/org/cicadahead/allotment/AllotmentTableTest.java
@@ -0,0 +1,152 @@
+package org.cicadahead.allotment;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.cicadahead.fleet.Allotment;
+import org.cicadahead.fleet.Standing;
+import org.cicadahead.site.SiteOrganisation;
+import org.junit.jupiter.api.Test;
+
+/** What entries admit together against the rate and burst of an organisation. */
+class AllotmentTableTest {
+    private static final String NAME = "o";
+
+    private static Map<String, SiteOrganisation> limits(double rate, double burst) {
+        return Map.of(NAME, new SiteOrganisation(NAME, List.of(), rate, burst, null));
+    }
+
+    /** Entries that ask a leader, with answers that get lost. */
+    private static final class Fleet {
+        private final Map<String, LocalAllotment> entries = new HashMap<>();
+        private final List<Long> admitted = new ArrayList<>();
+        private AllotmentTable leader;
+        private Map<String, SiteOrganisation> limits;
+
+        Fleet(int size, double rate, double burst, long nowMillis) {
+            for (int i = 0; i < size; i++) {
+                entries.put("e" + i, LocalAllotment.create(NAME, nowMillis));
+            }
+            leader = AllotmentTable.create(nowMillis);
+            limits = limits(rate, burst);
+        }
+
+        void request(String entry, long now) {
+            entries.get(entry).arrived(now);
+            if (entries.get(entry).tryTake(Standing.CALL, now)) {
+                admitted.add(now);
+            }
+        }
+
+        void ask(String entry, int urgent, boolean answerLost, long now) {
+            LocalAllotment local = entries.get(entry);
+            List<Allotment> shares =
+                    leader.ask(entry, List.of(local.need(Map.of(Standing.CALL, urgent), now)), limits, now);
+            if (!answerLost) {
+                shares.forEach(share -> local.allot(share, now, AllotmentTable.LEASE_MILLIS, now));
+            }
+        }
+
+        long mostIn(long windowMillis) {
+            long most = 0;
+            int first = 0;
+            for (int last = 0; last < admitted.size(); last++) {
+                while (admitted.get(last) - admitted.get(first) >= windowMillis) {
+                    first++;
+                }
+                most = Math.max(most, last - first + 1);
+            }
+            return most;
+        }
+    }
+
+    /** Guards against more than rate and burst over all entries, with lost answers and changes of the leader. */
+    @Property(tries = 300)
+    void neverAdmitsMoreThanRateAndBurst(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 1, max = 6) int size,
+            @ForAll @IntRange(min = 2, max = 60) int rate) {
+        Random random = new Random(seed);
+        Fleet fleet = new Fleet(size, rate, rate, 0);
+        long now = 0;
+        for (int step = 0; step < 4_000; step++) {
+            now += random.nextInt(10);
+            String entry = "e" + random.nextInt(size);
+            if (random.nextInt(4) == 0) {
+                fleet.ask(entry, random.nextInt(5), random.nextInt(5) == 0, now);
+            } else {
+                fleet.request(entry, now);
+            }
+            if (random.nextInt(1_500) == 0) {
+                fleet.leader = AllotmentTable.create(now);
+            }
+        }
+        double bound = rate * 5 + rate;
+        assertThat((double) fleet.mostIn(5_000)).isAtMost(bound + 1);
+    }
+
+    /** Guards against refusals far below the rate, as when the first entry to ask held half of it. */
+    @Test
+    void servesDemandBelowTheRateThatMovesBetweenEntries() {
+        Fleet fleet = new Fleet(4, 40, 40, 0);
+        int refused = 0;
+        int asked = 0;
+        for (long now = 10_000; now < 40_000; now += 50) {
+            String entry = "e" + (now / 3_000) % 4;
+            asked++;
+            int before = fleet.admitted.size();
+            fleet.request(entry, now);
+            if (fleet.admitted.size() == before) {
+                fleet.ask(entry, 1, false, now);
+                fleet.request(entry, now + 1);
+                refused += fleet.admitted.size() == before ? 1 : 0;
+            }
+            if (now % 1_000 == 0) {
+                fleet.entries.keySet().forEach(each -> fleet.ask(each, 0, false, 10_000));
+            }
+        }
+        assertThat(asked).isEqualTo(600);
+        assertThat(refused).isEqualTo(0);
+    }
+
+    /** Guards against a stop of all organisations while no leader answers. */
+    @Test
+    void sharesHoldWithoutALeaderForTheirLease() {
+        Fleet fleet = new Fleet(1, 40, 40, 0);
+        for (long now = 10_000; now < 13_000; now += 50) {
+            fleet.request("e0", now);
+            fleet.ask("e0", 1, false, now);
+        }
+        int before = fleet.admitted.size();
+        for (long now = 13_000; now < 13_000 + AllotmentTable.LEASE_MILLIS; now += 50) {
+            fleet.request("e0", now);
+        }
+        double shared = 40 * AllotmentTable.SHARED_PART * AllotmentTable.LEASE_MILLIS / 1_000;
+        assertThat((double) (fleet.admitted.size() - before)).isAtLeast(shared * 0.9);
+        fleet.request("e0", 13_000 + 2 * AllotmentTable.LEASE_MILLIS);
+        assertThat(fleet.entries.get("e0").tryTake(Standing.CALL, 13_000 + 2 * AllotmentTable.LEASE_MILLIS))
+                .isFalse();
+    }
+
+    /** Guards against new programs that take what programs under way need, when the rate is nearly used up. */
+    @Test
+    void leavesTheLastRequestsToCalls() {
+        AllotmentTable table = AllotmentTable.create(0);
+        LocalAllotment local = LocalAllotment.create(NAME, 0);
+        Map<Standing, Integer> urgent = Map.of(Standing.CALL, 1, Standing.BEGINNING, 100, Standing.EXCESSIVE, 100);
+        Allotment first = table.ask("e", List.of(local.need(urgent, 10_000)), limits(40, 40), 10_000)
+                .get(0);
+        assertThat(first.extra()).isLessThan(40);
+        Map<Standing, Integer> calls = Map.of(Standing.CALL, 100);
+        Allotment second = table.ask("e", List.of(local.need(calls, 10_000)), limits(40, 40), 10_000)
+                .get(0);
+        assertThat(second.extra()).isAtLeast((int) (40 * Standing.BEGINNING.floor()) - 1);
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/cicadahead/gateway/FakeEndpoints.java
@@ -0,0 +1,55 @@
+package org.cicadahead.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Endpoints whose answers a test gives. */
+final class FakeEndpoints implements EndpointClient {
+    final List<Sent> sent = new ArrayList<>();
+
+    /** A request that was sent. */
+    static final class Sent {
+        final EndpointRequest request;
+        final EndpointListener listener;
+        boolean cancelled;
+
+        Sent(EndpointRequest request, EndpointListener listener) {
+            this.request = request;
+            this.listener = listener;
+        }
+
+        void head(int status, boolean receipt, boolean notRun) {
+            listener.head(new AnswerHead(status, List.of(), request.caller().attempt(), receipt, notRun));
+        }
+
+        void answer(int status, String body) {
+            head(status, true, false);
+            data(body);
+            listener.end();
+        }
+
+        void reject() {
+            head(503, false, true);
+        }
+
+        void data(String text) {
+            listener.data(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        void event(int id) {
+            data("id: " + id + "\ndata: d" + id + "\n\n");
+        }
+    }
+
+    @Override
+    public Runnable send(EndpointRequest request, EndpointListener listener) {
+        Sent each = new Sent(request, listener);
+        sent.add(each);
+        return () -> each.cancelled = true;
+    }
+
+    Sent last() {
+        return sent.get(sent.size() - 1);
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/cicadahead/gateway/FakeExchange.java
@@ -0,0 +1,50 @@
+package org.cicadahead.gateway;
+
+import java.nio.charset.StandardCharsets;
+
+/** A caller that records what it gets. */
+final class FakeExchange implements CallerExchange {
+    final StringBuilder body = new StringBuilder();
+    int status;
+    GatewayRefusal refusal;
+    boolean ended;
+    boolean reset;
+    Runnable gone = () -> {};
+
+    @Override
+    public void answer(AnswerHead head, byte[] whole) {
+        status = head.status();
+        body.append(new String(whole, StandardCharsets.UTF_8));
+        ended = true;
+    }
+
+    @Override
+    public void begin(AnswerHead head) {
+        status = head.status();
+    }
+
+    @Override
+    public void piece(byte[] data) {
+        body.append(new String(data, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void end() {
+        ended = true;
+    }
+
+    @Override
+    public void refuse(GatewayRefusal given) {
+        refusal = given;
+    }
+
+    @Override
+    public void reset() {
+        reset = true;
+    }
+
+    @Override
+    public void onGone(Runnable action) {
+        gone = action;
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -0,0 +1,326 @@
+package org.cicadahead.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import org.cicadahead.fleet.EndpointPhase;
+import org.cicadahead.fleet.EndpointRecord;
+import org.cicadahead.fleet.FleetMessages;
+import org.cicadahead.fleet.FleetUpdate;
+import org.cicadahead.model.KeyDigests;
+import org.cicadahead.model.RefusalReason;
+import org.cicadahead.protocol.MessageCatalog;
+import org.cicadahead.site.CallerLimits;
+import org.cicadahead.site.Repetition;
+import org.cicadahead.site.SiteConfiguration;
+import org.cicadahead.site.SiteIndex;
+import org.cicadahead.site.SiteOrganisation;
+import org.cicadahead.site.SiteRoute;
+import org.cicadahead.site.SiteService;
+import org.cicadahead.site.WeightedService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The way of a request between a caller and endpoints that fail in all ways. */
+class RequestFlowTest {
+    private static final String EVENT_1 = "id: 1\ndata: d1\n\n";
+    private static final String EVENT_2 = "id: 2\ndata: d2\n\n";
+
+    private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1);
+    private final FakeEndpoints endpoints = new FakeEndpoints();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final EndpointDesk desk = new EndpointDesk("z", 1_000);
+    private final FakeExchange caller = new FakeExchange();
+    private GatewayContext context;
+
+    private static SiteRoute route(String prefix, Repetition repetition, boolean resumable) {
+        return new SiteRoute(
+                prefix,
+                "h",
+                prefix,
+                repetition,
+                resumable,
+                false,
+                60_000,
+                false,
+                0,
+                3_000,
+                200,
+                250,
+                2,
+                List.of(new WeightedService("s", 1)));
+    }
+
+    @BeforeEach
+    void configure() {
+        RateGate rates = new RateGate(
+                "e", ask -> CompletableFuture.failedFuture(new IllegalStateException("none")), GatewayNode::nowMillis);
+        context = new GatewayContext(
+                desk,
+                rates,
+                new TurnStores(FleetMessages.catalog(MessageCatalog.standard()), timer),
+                endpoints,
+                new GatewayCounters(metrics),
+                DecisionLog.to(new PrintStream(OutputStream.nullOutputStream())),
+                timer,
+                GatewayNode::nowMillis);
+        SiteOrganisation organisation = new SiteOrganisation("o", List.of(KeyDigests.of("k")), 0, 0, null);
+        context.site(SiteIndex.of(new SiteConfiguration(
+                1,
+                List.of(
+                        route("/safe/", Repetition.IDEMPOTENT, false),
+                        route("/once/", Repetition.NON_IDEMPOTENT, false),
+                        route("/stream/", Repetition.STREAM, false),
+                        route("/resume/", Repetition.STREAM, true)),
+                List.of(new SiteService("s", "/health", 10, null)),
+                List.of(organisation),
+                CallerLimits.STANDARD)));
+        List<EndpointRecord> ready = List.of("a", "b", "c").stream()
+                .map(id -> new EndpointRecord(id, 0, 1, "s", id + ":1", "z", 4, EndpointPhase.READY, 0))
+                .toList();
+        desk.updated(new FleetUpdate(null, ready, null, null, "", null), GatewayNode.nowMillis());
+    }
+
+    @AfterEach
+    void stop() {
+        timer.shutdownNow();
+    }
+
+    private void send(String path, String key, long timeLeftMillis) {
+        CallerRequest request = new CallerRequest(
+                "attempt",
+                "POST",
+                path,
+                path,
+                "h",
+                List.of(),
+                new byte[0],
+                key,
+                timeLeftMillis,
+                null,
+                "",
+                List.of(),
+                0,
+                -1,
+                GatewayNode.nowMillis());
+        RequestFlow.serve(context, request, caller);
+    }
+
+    private void send(String path) {
+        send(path, "k", 2_000);
+    }
+
+    /** Guards against a request that runs without a key of the configuration. */
+    @Test
+    void refusesAnUnknownKeyAndAnUnknownRoute() {
+        send("/safe/x", "other", 2_000);
+        assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.KEY_INVALID);
+        FakeExchange second = new FakeExchange();
+        RequestFlow.serve(
+                context,
+                new CallerRequest(
+                        "b",
+                        "GET",
+                        "/none/",
+                        "/none/",
+                        "h",
+                        List.of(),
+                        new byte[0],
+                        "k",
+                        100,
+                        null,
+                        "",
+                        List.of(),
+                        0,
+                        -1,
+                        GatewayNode.nowMillis()),
+                second);
+        assertThat(second.refusal.reason()).isEqualTo(RefusalReason.ROUTE_UNKNOWN);
+        assertThat(endpoints.sent).isEmpty();
+    }
+
+    /** Guards against 401 and 404 from an entry that knows no configuration yet. */
+    @Test
+    void anEntryWithoutAConfigurationRefusesAsNotRun() {
+        context.site(null);
+        send("/safe/x");
+        assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.SITE_UNKNOWN);
+        assertThat(caller.refusal.reason().status()).isEqualTo(503);
+    }
+
+    /** Guards against a refusal where another endpoint has room. */
+    @Test
+    void aRejectionGoesToAnotherEndpoint() {
+        send("/once/x");
+        endpoints.last().reject();
+        assertThat(endpoints.sent).hasSize(2);
+        assertThat(endpoints.sent.get(1).request.instance())
+                .isNotEqualTo(endpoints.sent.get(0).request.instance());
+        endpoints.last().answer(200, "done");
+        assertThat(caller.body.toString()).isEqualTo("done");
+        assertThat(metrics.counter("retries.rejected").getCount()).isEqualTo(1);
+    }
+
+    /** Guards against "not run" for a request that an endpoint may have run. */
+    @Test
+    void aLostRequestThatMayNotBeRepeatedIsNeitherRepeatedNorRefused() {
+        send("/once/x");
+        endpoints.last().listener.failed(true, "reset");
+        assertThat(endpoints.sent).hasSize(1);
+        assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.ENDPOINT_LOST);
+        assertThat(caller.refusal.reason().notRun()).isFalse();
+    }
+
+    /** Guards against a lost request where no connection could be opened. */
+    @Test
+    void aRequestThatWasNeverSentGoesToAnotherEndpoint() {
+        send("/once/x");
+        endpoints.last().listener.failed(false, "refused");
+        assertThat(endpoints.sent).hasSize(2);
+    }
+
+    /** Guards against more endpoints than the route allows. */
+    @Test
+    void repeatsAtMostAsOftenAsTheRouteSays() {
+        send("/safe/x");
+        endpoints.last().listener.failed(true, "reset");
+        endpoints.last().listener.failed(true, "reset");
+        assertThat(endpoints.sent).hasSize(2);
+        assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.ENDPOINT_LOST);
+    }
+
+    /** Guards against an answer to another request, and against a success that no endpoint vouches for. */
+    @Test
+    void anAnswerWithoutReceiptOrToAnotherAttemptIsNotPassedOn() {
+        send("/safe/x");
+        endpoints.last().head(200, false, false);
+        assertThat(endpoints.sent).hasSize(2);
+        endpoints.last().listener.head(new AnswerHead(200, List.of(), "other", true, false));
+        assertThat(caller.status).isEqualTo(0);
+        assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.ENDPOINT_LOST);
+    }
+
+    /** Guards against a late answer of an earlier endpoint that mixes with that of the present one. */
+    @Test
+    void whatComesFromAnEarlierEndpointIsIgnored() {
+        send("/safe/x");
+        FakeEndpoints.Sent first = endpoints.last();
+        first.listener.failed(true, "reset");
+        first.answer(200, "late");
+        assertThat(caller.ended).isFalse();
+        endpoints.last().answer(200, "right");
+        assertThat(caller.body.toString()).isEqualTo("right");
+    }
+
+    /** Guards against a broken stream that looks complete. */
+    @Test
+    void aStreamThatMayNotBeRepeatedIsBrokenOff() {
+        send("/stream/x");
+        endpoints.last().head(200, true, false);
+        endpoints.last().event(1);
+        endpoints.last().listener.failed(true, "reset");
+        assertThat(caller.body.toString()).isEqualTo(EVENT_1);
+        assertThat(caller.reset).isTrue();
+        assertThat(caller.ended).isFalse();
+    }
+
+    /** Guards against pieces that are missing or come twice when a stream goes on elsewhere. */
+    @Test
+    void aResumableStreamGoesOnAfterTheLastWholeEvent() {
+        send("/resume/x");
+        endpoints.last().head(200, true, false);
+        endpoints.last().event(1);
+        endpoints.last().data("id: 2\ndata: hal");
+        endpoints.last().listener.failed(true, "reset");
+        assertThat(endpoints.last().request.afterEvent()).isEqualTo(1);
+        endpoints.last().head(200, true, false);
+        endpoints.last().event(1);
+        endpoints.last().event(2);
+        endpoints.last().listener.end();
+        assertThat(caller.body.toString()).isEqualTo(EVENT_1 + EVENT_2);
+        assertThat(caller.ended).isTrue();
+    }
+
+    /** Guards against an orderly end in the middle of an event that is taken for the end of the answer. */
+    @Test
+    void aStreamThatEndsInsideAnEventIsNotComplete() {
+        send("/stream/x");
+        endpoints.last().head(200, true, false);
+        endpoints.last().event(1);
+        endpoints.last().data("id: 2\nda");
+        endpoints.last().listener.end();
+        assertThat(caller.ended).isFalse();
+        assertThat(caller.reset).isTrue();
+    }
+
+    /** Guards against work for a caller that has left. */
+    @Test
+    void aCallerThatLeavesEndsTheWork() {
+        send("/safe/x");
+        caller.gone.run();
+        assertThat(endpoints.last().cancelled).isTrue();
+        assertThat(context.active().get()).isEqualTo(0);
+        endpoints.last().answer(200, "late");
+        assertThat(caller.ended).isFalse();
+    }
+
+    /** Guards against a request that is held beyond its time, and against "not run" at its end. */
+    @Test
+    void aRequestEndsWithItsTime() throws InterruptedException {
+        send("/once/x", "k", 60);
+        for (int i = 0; i < 100 && caller.refusal == null; i++) {
+            Thread.sleep(10);
+        }
+        assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.DEADLINE_EXCEEDED);
+        assertThat(endpoints.last().cancelled).isTrue();
+    }
+
+    /** Guards against a wait until the time limit where all endpoints are full. */
+    @Test
+    void isRefusedAtOnceWhereAllEndpointsAreFull() {
+        send("/once/x");
+        endpoints.last().reject();
+        endpoints.last().reject();
+        endpoints.last().reject();
+        assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.ENDPOINT_OVERLOADED);
+        assertThat(caller.refusal.retryAfterMillis()).isGreaterThan(0L);
+        assertThat(caller.refusal.reason().notRun()).isTrue();
+    }
+
+    /** Guards against a wrong incarnation that is asked again. */
+    @Test
+    void anotherIncarnationAtTheAddressIsLeftOut() {
+        send("/once/x");
+        String wrong = endpoints.last().request.instance();
+        endpoints.last().head(421, false, true);
+        endpoints.last().answer(200, "done");
+        for (int i = 0; i < 10; i++) {
+            RequestFlow.serve(
+                    context,
+                    new CallerRequest(
+                            "n" + i,
+                            "GET",
+                            "/safe/",
+                            "/safe/",
+                            "h",
+                            List.of(),
+                            new byte[0],
+                            "k",
+                            1_000,
+                            null,
+                            "",
+                            List.of(),
+                            0,
+                            -1,
+                            GatewayNode.nowMillis()),
+                    new FakeExchange());
+            assertThat(endpoints.last().request.instance()).isNotEqualTo(wrong);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/cicadahead/turns/TurnTableTest.java
@@ -0,0 +1,137 @@
+package org.cicadahead.turns;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.cicadahead.fleet.CloseTurn;
+import org.cicadahead.fleet.OpenTurn;
+import org.cicadahead.fleet.TurnOpened.Verdict;
+import org.junit.jupiter.api.Test;
+
+/** Kept turns and budgets. */
+class TurnTableTest {
+    private static final long RETENTION = 60_000;
+
+    private final TurnTable table = TurnTable.create();
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private Verdict open(String turn, String organisation, String previous, long budget, long max, long now) {
+        return table.open(
+                new OpenTurn(
+                        turn, organisation, "p", budget, max, previous, bytes("in-" + turn + ";"), RETENTION, false),
+                now);
+    }
+
+    private void close(String turn, long tokens, String output, long now) {
+        table.close(new CloseTurn(turn, "o", "p", tokens, output == null ? null : bytes(output)), now);
+    }
+
+    /** Guards against a chain whose parts are missing, doubled or in another order. */
+    @Test
+    void historyIsInputsAndOutputsOldestFirst() {
+        open("a", "o", "", -1, 0, 0);
+        close("a", 0, "out-a\n", 1);
+        open("b", "o", "a", -1, 0, 2);
+        close("b", 0, "out-b\n", 3);
+        open("c", "o", "a", -1, 0, 4);
+        close("c", 0, "out-c\n", 5);
+        assertThat(new String(table.history("b"), StandardCharsets.UTF_8)).isEqualTo("in-a;out-a\nin-b;out-b\n");
+        assertThat(new String(table.history("c"), StandardCharsets.UTF_8)).isEqualTo("in-a;out-a\nin-c;out-c\n");
+    }
+
+    /** Guards against turns that continue what another organisation said, what is unknown or what has not ended. */
+    @Test
+    void refusesAPreviousTurnThatIsNotTheOrganisations() {
+        open("a", "o", "", -1, 0, 0);
+        assertThat(open("b", "o", "a", -1, 0, 1)).isEqualTo(Verdict.PREVIOUS_UNKNOWN);
+        close("a", 0, "x", 2);
+        assertThat(open("b", "other", "a", -1, 0, 3)).isEqualTo(Verdict.PREVIOUS_UNKNOWN);
+        assertThat(open("b", "o", "nothing", -1, 0, 4)).isEqualTo(Verdict.PREVIOUS_UNKNOWN);
+        assertThat(open("b", "o", "a", -1, 0, 5)).isEqualTo(Verdict.OPEN);
+    }
+
+    /** Guards against a chain that loses its first turns while its last ones are still kept. */
+    @Test
+    void aTurnKeepsItsChain() {
+        open("a", "o", "", -1, 0, 0);
+        close("a", 0, "x", 0);
+        open("b", "o", "a", -1, 0, 50_000);
+        close("b", 0, "y", 50_000);
+        assertThat(open("c", "o", "b", -1, 0, 50_000 + RETENTION - 1)).isEqualTo(Verdict.OPEN);
+        assertThat(table.history("b")).isNotNull();
+        close("c", 0, null, 50_000 + RETENTION);
+        long late = 50_000 + 2 * RETENTION + 2 * TurnTable.MARGIN_MILLIS + TurnTable.SWEEP_MILLIS;
+        assertThat(open("d", "o", "b", -1, 0, late)).isEqualTo(Verdict.PREVIOUS_UNKNOWN);
+        assertThat(table.turns()).isEqualTo(0);
+    }
+
+    /** Guards against a turn that fails and is taken for one that can be continued. */
+    @Test
+    void aTurnThatDidNotEndWholeCannotBeContinued() {
+        open("a", "o", "", -1, 0, 0);
+        close("a", 70, null, 1);
+        assertThat(open("b", "o", "a", -1, 0, 2)).isEqualTo(Verdict.PREVIOUS_UNKNOWN);
+    }
+
+    /** Guards against a budget that parallel turns pass together. */
+    @Test
+    void openTurnsCountAtTheirMost() {
+        assertThat(open("a", "o", "", 1_000, 560, 0)).isEqualTo(Verdict.OPEN);
+        assertThat(open("b", "o", "", 1_000, 560, 0)).isEqualTo(Verdict.OPEN);
+        assertThat(open("c", "o", "", 1_000, 560, 0)).isEqualTo(Verdict.BUDGET_SPENT);
+        close("a", 100, null, 1);
+        close("b", 100, null, 1);
+        assertThat(open("c", "o", "", 1_000, 560, 2)).isEqualTo(Verdict.OPEN);
+    }
+
+    /** Guards against a second reservation by a request that is sent again after a lost answer. */
+    @Test
+    void openingAndClosingTwiceCountsOnce() {
+        open("a", "o", "", 1_000, 560, 0);
+        assertThat(open("a", "o", "", 1_000, 560, 1)).isEqualTo(Verdict.OPEN);
+        close("a", 500, null, 2);
+        close("a", 0, null, 3);
+        open("a", "o", "", 1_000, 560, 4);
+        assertThat(open("b", "o", "", 1_000, 560, 5)).isEqualTo(Verdict.OPEN);
+        assertThat(open("c", "o", "", 1_000, 560, 6)).isEqualTo(Verdict.BUDGET_SPENT);
+    }
+
+    /** Guards against more tokens handed out than the budget and the most of one turn. */
+    @Property(tries = 200)
+    void neverPassesTheBudgetByMoreThanOneTurn(@ForAll long seed) {
+        Random random = new Random(seed);
+        TurnTable each = TurnTable.create();
+        long handed = 0;
+        for (int turn = 0; turn < 100; turn++) {
+            OpenTurn open = new OpenTurn("t" + turn, "o", "p", 3_000, 560, "", null, RETENTION, false);
+            if (each.open(open, turn) == Verdict.OPEN) {
+                long tokens = random.nextInt(561);
+                handed += tokens;
+                if (random.nextInt(4) > 0) {
+                    each.close(new CloseTurn("t" + turn, "o", "p", tokens, null), turn);
+                }
+            }
+        }
+        assertThat(handed).isAtMost(3_000L + 560);
+    }
+
+    /** Guards against state that a store loses with a snapshot. */
+    @Test
+    void aSnapshotHoldsEverything() {
+        open("a", "o", "", 1_000, 560, 0);
+        close("a", 480, "x", 1);
+        open("b", "o", "a", 1_000, 560, 2);
+        TurnTable restored = TurnTable.create();
+        table.image().turns().forEach(restored::restore);
+        table.image().budgets().forEach(restored::restore);
+        assertThat(restored.history("a")).isEqualTo(table.history("a"));
+        OpenTurn third = new OpenTurn("c", "o", "p", 1_000, 560, "", null, RETENTION, false);
+        assertThat(restored.open(third, 3)).isEqualTo(Verdict.BUDGET_SPENT);
+    }
+}
--- a/raft/src/main/java/org/cicadahead/replication/ReplicationConfig.java
+++ b/raft/src/main/java/org/cicadahead/replication/ReplicationConfig.java
@@ -131,4 +131,24 @@
                 keepEntries,
                 voters);
     }
+
+    /**
+     * Returns these settings with other times of consensus.
+     *
+     * @param times the times
+     * @return the settings
+     */
+    public ReplicationConfig withTiming(Timing times) {
+        return new ReplicationConfig(
+                folder,
+                address,
+                members,
+                bootstrap,
+                times,
+                segmentBytes,
+                snapshotEntries,
+                snapshotBytes,
+                keepEntries,
+                targetVoters);
+    }
 }
--- /dev/null
+++ b/raft/src/test/java/org/cicadahead/replication/GroupUpkeepTest.java
@@ -0,0 +1,123 @@
+package org.cicadahead.replication;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.cicadahead.raft.ReplicaId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against groups that shrink, grow without bound or lose commands while VMs are replaced and emptied. */
+class GroupUpkeepTest {
+    private static final int VOTERS = 3;
+    private static final long LIMIT_SECONDS = 5;
+
+    @TempDir
+    Path folder;
+
+    private TestGroup group() throws Exception {
+        TestGroup group = new TestGroup(folder, VOTERS);
+        group.targetVoters = VOTERS;
+        group.startAll();
+        group.propose(TestGroup.set(1));
+        return group;
+    }
+
+    private static List<MemberStatus> members(TestGroup group) {
+        try {
+            return group.leader().node.members().get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        } catch (Exception e) {
+            return List.of();
+        }
+    }
+
+    private static Set<String> voters(TestGroup group) {
+        return members(group).stream()
+                .filter(MemberStatus::voter)
+                .map(MemberStatus::address)
+                .collect(Collectors.toSet());
+    }
+
+    private static Set<String> addresses(List<TestGroup.Replica> replicas) {
+        return replicas.stream().map(replica -> replica.address).collect(Collectors.toSet());
+    }
+
+    /** Guards against a lost voter that nobody replaces, and against one that comes back and makes the group larger. */
+    @Test
+    void aSpareTakesThePlaceOfALostVoter() throws Exception {
+        try (TestGroup group = group()) {
+            TestGroup.Replica spare = group.newReplica();
+            spare.start();
+            TimeUnit.SECONDS.sleep(2);
+            assertThat(voters(group)).doesNotContain(spare.address);
+            TestGroup.Replica leader = group.leader();
+            TestGroup.Replica lost = group.replicas.stream()
+                    .filter(replica -> replica != leader && replica != spare)
+                    .findFirst()
+                    .orElseThrow();
+            lost.stop();
+            List<TestGroup.Replica> left =
+                    group.replicas.stream().filter(replica -> replica != lost).toList();
+            TestGroup.await(
+                    "the spare in place of the lost voter", () -> voters(group).equals(addresses(left)));
+            group.propose(TestGroup.set(2));
+            lost.start();
+            TimeUnit.SECONDS.sleep(2);
+            assertThat(voters(group)).isEqualTo(addresses(left));
+            assertThat(members(group)).hasSize(VOTERS);
+        }
+    }
+
+    /** Guards against a replica that leaves before another holds what it held. */
+    @Test
+    void aReplicaThatIsToLeaveGoesAfterItsSuccessorHasJoined() throws Exception {
+        try (TestGroup group = group()) {
+            TestGroup.Replica leaving = group.leader();
+            Set<String> toLeave = Set.of(leaving.address);
+            group.replicas.forEach(replica -> replica.node.surroundings(Set.of(), toLeave));
+            TimeUnit.SECONDS.sleep(1);
+            assertThat(voters(group)).contains(leaving.address);
+            TestGroup.Replica successor = group.newReplica();
+            successor.start();
+            successor.node.surroundings(Set.of(), toLeave);
+            List<TestGroup.Replica> left = group.replicas.stream()
+                    .filter(replica -> replica != leaving)
+                    .toList();
+            TestGroup.await(
+                    "a group without the leaving replica", () -> voters(group).equals(addresses(left)));
+            group.propose(TestGroup.set(3));
+            leaving.stop();
+            group.awaitSameState();
+        }
+    }
+
+    /** Guards against a replica that was removed while it was away and can never take part again. */
+    @Test
+    void aRemovedReplicaJoinsAgainWhenItIsNeeded() throws Exception {
+        try (TestGroup group = group()) {
+            TestGroup.Replica leader = group.leader();
+            TestGroup.Replica away = group.replicas.stream()
+                    .filter(replica -> replica != leader)
+                    .findFirst()
+                    .orElseThrow();
+            ReplicaId id = away.node.id();
+            away.stop();
+            TestGroup.Replica spare = group.newReplica();
+            spare.start();
+            TestGroup.await(
+                    "the removal",
+                    () -> members(group).stream()
+                            .noneMatch(member -> member.id().equals(id)));
+            group.propose(TestGroup.set(4));
+            spare.stop();
+            away.start();
+            TestGroup.await(
+                    "the removed replica back in the group", () -> voters(group).contains(away.address));
+            group.awaitSameState();
+        }
+    }
+}
--- a/raft/src/test/java/org/cicadahead/replication/TestGroup.java
+++ b/raft/src/test/java/org/cicadahead/replication/TestGroup.java
@@ -32,6 +32,9 @@
     private static final long LIMIT_SECONDS = 20;
 
     final List<Replica> replicas = new ArrayList<>();
+    /** The voters that the group keeps up by itself; 0 if it does not. */
+    int targetVoters;
+
     private final List<String> addresses = new ArrayList<>();
     private final Path folder;
     private final ExecutorService workers = Executors.newFixedThreadPool(4);
@@ -57,7 +60,16 @@
         void start(long segmentBytes, long snapshotEntries, long keep) throws Exception {
             machine = new RegisterMachine();
             ReplicationConfig config = new ReplicationConfig(
-                    data, address, addresses, true, Timing.standard(), segmentBytes, snapshotEntries, 1 << 26, keep, 0);
+                    data,
+                    address,
+                    addresses,
+                    true,
+                    Timing.standard(),
+                    segmentBytes,
+                    snapshotEntries,
+                    1 << 26,
+                    keep,
+                    targetVoters);
             node = ReplicatedNode.start(config, machine, CATALOG);
             ReplicatedNode current = node;
             PeerHandler handler = (request, responder) -> {
