--- a/core/src/main/java/org/cicadahead/wire/ControlClient.java
+++ b/core/src/main/java/org/cicadahead/wire/ControlClient.java
@@ -26,10 +26,12 @@
 
     private volatile List<InetSocketAddress> replicas;
     private final MessageCatalog catalog;
+    private final long attemptMillis;
     private final Map<InetSocketAddress, PeerClient> clients = new ConcurrentHashMap<>();
     private volatile InetSocketAddress leader;
 
-    private ControlClient(List<InetSocketAddress> replicas, MessageCatalog catalog) {
+    private ControlClient(List<InetSocketAddress> replicas, MessageCatalog catalog, long attemptMillis) {
+        this.attemptMillis = attemptMillis;
         if (replicas.isEmpty()) {
             throw new IllegalArgumentException("There must be at least one control address");
         }
@@ -47,7 +49,20 @@
      * @throws IllegalArgumentException if there are no addresses
      */
     public static ControlClient to(List<InetSocketAddress> replicas, MessageCatalog catalog) {
-        return new ControlClient(replicas, catalog);
+        return new ControlClient(replicas, catalog, ATTEMPT_MILLIS);
+    }
+
+    /**
+     * Returns a client that gives up a replica earlier, for groups whose replicas answer within milliseconds.
+     *
+     * @param replicas the addresses of the replicas
+     * @param catalog the message types
+     * @param attemptMillis how long to wait for one replica, in milliseconds
+     * @return the client
+     * @throws IllegalArgumentException if there are no addresses
+     */
+    public static ControlClient to(List<InetSocketAddress> replicas, MessageCatalog catalog, long attemptMillis) {
+        return new ControlClient(replicas, catalog, attemptMillis);
     }
 
     /**
@@ -136,7 +151,7 @@
             }
             InetSocketAddress target = leader;
             client(target)
-                    .call(request, Math.min(leftMillis, ATTEMPT_MILLIS))
+                    .call(request, Math.min(leftMillis, attemptMillis))
                     .whenComplete((reply, failure) -> finish(target, reply, failure));
         }
 
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
@@ -31,7 +31,7 @@
  */
 public final class GatewayNode implements Node {
     /** How often waiting requests are looked at, in milliseconds. */
-    private static final long TICK_MILLIS = 25;
+    private static final long TICK_MILLIS = 50;
     /** How long an ask for shares may take, in milliseconds. */
     private static final long ASK_MILLIS = 600;
     /** How often a shutdown looks whether requests are left, in milliseconds. */
--- a/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
@@ -42,6 +42,7 @@
     private final LongSupplier clock;
     private final Map<String, Shares> organisations = new HashMap<>();
     private long askedMillis = Long.MIN_VALUE / 2;
+    private long renewedMillis = Long.MIN_VALUE / 2;
     private boolean asking;
     private boolean siteChanged;
     private long lastWaiter;
@@ -145,7 +146,7 @@
             organisations.values().forEach(shares -> drain(shares, NOT_ASKED, decided, now));
             organisations.values().removeIf(shares -> shares.waiters.isEmpty() && shares.allotment.isIdle(now));
             due = !organisations.isEmpty()
-                    && (now - askedMillis >= RENEW_MILLIS
+                    && (now - renewedMillis >= RENEW_MILLIS
                             || siteChanged
                             || organisations.values().stream().anyMatch(shares -> !shares.waiters.isEmpty()));
         }
--- a/gateway/src/main/java/org/cicadahead/gateway/TurnStores.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/TurnStores.java
@@ -24,6 +24,8 @@
     private static final long SETTLE_LIMIT_MILLIS = 30_000;
 
     private static final long SETTLE_PAUSE_MILLIS = 200;
+    /** How long one store is waited for, in milliseconds: many times a commit, and less than an election. */
+    private static final long ATTEMPT_MILLIS = 400;
 
     private static final Logger LOG = Logger.getLogger("cicadahead.gateway");
 
@@ -44,7 +46,7 @@
             return;
         }
         if (client == null) {
-            client = ControlClient.to(parsed, catalog);
+            client = ControlClient.to(parsed, catalog, ATTEMPT_MILLIS);
         } else {
             client.retarget(parsed);
         }
--- a/gateway/src/main/java/org/cicadahead/placement/EndpointChoice.java
+++ b/gateway/src/main/java/org/cicadahead/placement/EndpointChoice.java
@@ -1,6 +1,5 @@
 package org.cicadahead.placement;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
 
@@ -12,8 +11,11 @@
  * on the engine of a session without talking to each other. The first use is {@link #over(EndpointRoster)}.
  */
 public final class EndpointChoice {
-    /** The cost of a request that crosses availability zones, in requests: bytes between zones are dear. */
-    static final double REMOTE_COST = 2.0;
+    /**
+     * The cost of a request that crosses availability zones, in parts of the endpoint's slots: bytes between zones are
+     * dear, and what other entries send to the endpoints of their zones is not seen here.
+     */
+    static final double REMOTE_PART = 0.5;
     /** The cost of an engine without the session's prompt, in requests: a prompt is read in a tenth of a run. */
     static final double COLD_COST = 1.5;
     /** The cost of an endpoint that has just rejected a request for want of room, in requests. */
@@ -43,7 +45,7 @@
      * @return the endpoint, or null if there is none
      */
     public KnownEndpoint choose(ChoiceRequest request, long nowMillis) {
-        List<KnownEndpoint> all = new ArrayList<>(roster.ready(request.service()));
+        List<KnownEndpoint> all = roster.ready(request.service());
         all.removeIf(each -> request.excluded().contains(each.record().id()));
         List<KnownEndpoint> sound =
                 filter(all, each -> !each.isEjected(nowMillis) && !roster.isSilent(each, nowMillis));
@@ -64,7 +66,9 @@
         long bestRank = 0;
         for (KnownEndpoint each : candidates) {
             double cost = each.inFlight();
-            cost += each.record().zone().equals(request.zone()) ? 0 : REMOTE_COST;
+            cost += each.record().zone().equals(request.zone())
+                    ? 0
+                    : REMOTE_PART * each.record().slots();
             cost += request.session().isEmpty() || each == home ? 0 : COLD_COST;
             cost += each.isFull(nowMillis) ? FULL_COST : 0;
             long rank = rank(each, request);
--- a/raft/src/main/java/org/cicadahead/raft/Timing.java
+++ b/raft/src/main/java/org/cicadahead/raft/Timing.java
@@ -41,11 +41,11 @@
 
     /**
      * Returns times for a group within one region, where a lost leader costs more than an election too many: heartbeat
-     * 60 ms, election 300 to 600 ms, lease 240 ms; a round trip takes 3 ms.
+     * 90 ms, election 300 to 600 ms, lease 240 ms; a round trip takes 3 ms.
      *
      * @return the times
      */
     public static Timing withinRegion() {
-        return new Timing(60, 300, 600, 240, 1024 * 1024, 8L * 1024 * 1024);
+        return new Timing(90, 300, 600, 240, 1024 * 1024, 8L * 1024 * 1024);
     }
 }
--- a/raft/src/main/java/org/cicadahead/replication/ConsensusLoop.java
+++ b/raft/src/main/java/org/cicadahead/replication/ConsensusLoop.java
@@ -23,8 +23,8 @@
 
 /** Feeds consensus with events on one thread and hands its outputs on. */
 final class ConsensusLoop implements Runnable {
-    /** Short against the heartbeat interval of 100 ms. */
-    private static final long TICK_MILLIS = 10;
+    /** Short against the heartbeat interval of 90 to 100 ms; each tick is a wake-up. */
+    private static final long TICK_MILLIS = 20;
     /** Messages beyond this backlog are dropped, as consensus recovers from lost messages. */
     private static final int MAX_EVENTS = 20_000;
     /** Limits the buffer of one write to the log. */
