Choose endpoints by their pace, tell the story of a request from logs

Ruled out: reports of engines (each is priced and late). Change: an endpoint's pace against the mean of the request's kind decides, with own requests and the zone; trace in cicadactl; request lines carry the wall-clock time.

--- a/ctl/src/main/java/org/cicadahead/ctl/Main.java
+++ b/ctl/src/main/java/org/cicadahead/ctl/Main.java
@@ -26,6 +26,7 @@
             FleetCommands.Drain.class,
             FleetCommands.Members.class,
             FleetCommands.Explain.class,
+            TraceCommand.class,
             AutoComplete.GenerateCompletion.class
         },
         exitCodeListHeading = "Exit codes:%n",
--- a/gateway/src/main/java/org/cicadahead/gateway/AnswerRelay.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/AnswerRelay.java
@@ -19,6 +19,7 @@
     private AnswerHead head;
     private long lastEvent;
     private boolean begun;
+    private int events;
 
     private AnswerRelay(AdmittedRequest admitted, long lastEvent) {
         this.admitted = admitted;
@@ -62,6 +63,7 @@
                 output.writeBytes(event.data());
                 output.write('\n');
             }
+            events++;
             fresh.add(event);
         }
         return fresh;
@@ -75,6 +77,11 @@
         return begun;
     }
 
+    /** Returns how many events the endpoint has sent. */
+    int events() {
+        return events;
+    }
+
     boolean isStream() {
         return admitted.route().repetition().isStreamed() && head.isSuccess();
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/Attempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/Attempts.java
@@ -210,7 +210,9 @@
         if (patience != null) {
             patience.cancel(false);
         }
-        placement.succeeded();
+        long now = scope.context().nowMillis();
+        double millis = (double) (now - sentMillis) / Math.max(1, relay.events());
+        placement.succeeded(admitted.route().name(), millis, now);
         scope.trail()
                 .attempt(
                         placement.record().id(),
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointDesk.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointDesk.java
@@ -1,5 +1,7 @@
 package org.cicadahead.gateway;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Set;
 import org.cicadahead.fleet.EndpointPhase;
 import org.cicadahead.fleet.EndpointRecord;
@@ -11,7 +13,13 @@
 
 /** The endpoints as the requests of an entry share them. Safe for use by several threads; its lock is a leaf. */
 final class EndpointDesk {
+    /** The weight of a request in the mean of its kind; about the last fifty count. */
+    private static final double MEAN_GAIN = 0.02;
+
+    private static final double LEAST_MILLIS = 1;
+
     private final String zone;
+    private final Map<String, Double> means = new HashMap<>();
     private final EndpointRoster roster;
     private final EndpointChoice choice;
 
@@ -52,10 +60,13 @@
             return record;
         }
 
-        void succeeded() {
+        /** The endpoint answered whole: a request of a kind, in some milliseconds for each event or answer. */
+        void succeeded(String kind, double millis, long nowMillis) {
             synchronized (EndpointDesk.this) {
                 if (end()) {
                     roster.succeeded(endpoint);
+                    double mean = means.merge(kind, millis, (before, now) -> before + MEAN_GAIN * (now - before));
+                    roster.paced(endpoint, millis / Math.max(LEAST_MILLIS, mean), nowMillis);
                 }
             }
         }
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestScope.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestScope.java
@@ -161,7 +161,7 @@
             deadline.cancel(false);
         }
         context.active().decrementAndGet();
-        context.decisions().line(trail.line(outcome, status, tokens, context.nowMillis()));
+        context.decisions().line(trail.line(outcome, status, tokens, context.nowMillis(), System.currentTimeMillis()));
         return true;
     }
 }
--- a/gateway/src/main/java/org/cicadahead/gateway/Trail.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/Trail.java
@@ -47,12 +47,13 @@
         attempts.add(new Attempt(endpoint, outcome, beganMillis, endedMillis));
     }
 
-    /** Returns the line. */
-    String line(String outcome, int status, long tokens, long nowMillis) {
+    /** Returns the line; the wall-clock time is that of its writing. */
+    String line(String outcome, int status, long tokens, long nowMillis, long wallMillis) {
         StringWriter text = new StringWriter();
         try (JsonGenerator json = JSON.createGenerator(text)) {
             json.writeStartObject();
             json.writeStringField("event", "request");
+            json.writeNumberField("at", wallMillis);
             json.writeStringField("request", caller.attempt());
             if (caller.line() != null) {
                 json.writeStringField("program", caller.line().program());
--- a/gateway/src/main/java/org/cicadahead/placement/EndpointChoice.java
+++ b/gateway/src/main/java/org/cicadahead/placement/EndpointChoice.java
@@ -4,22 +4,22 @@
 import java.util.function.Predicate;
 
 /**
- * Chooses the endpoint with the least cost: its requests of this entry, a penalty for another availability zone and one
- * for an engine that has not got the session's prompt in its cache. Not safe for use by several threads.
+ * Chooses the endpoint with the least expected time: its pace, what this entry has sent it, whether it is in another
+ * availability zone and whether it has the session's prompt in its cache. Not safe for use by several threads.
  *
- * <p>Answers steady load with sessions spread over several entries: rendezvous hashing lets all entries of a zone agree
- * on the engine of a session without talking to each other. The first use is {@link #over(EndpointRoster)}.
+ * <p>Answers load of several entries that do not see each other's requests, and endpoints that turn slow: both show in
+ * the pace, without a report of the endpoint. Rendezvous hashing lets the entries of a zone agree on the engine of a
+ * session. The first use is {@link #over(EndpointRoster)}.
  */
 public final class EndpointChoice {
-    /**
-     * The cost of a request that crosses availability zones, in parts of the endpoint's slots: bytes between zones are
-     * dear, and what other entries send to the endpoints of their zones is not seen here.
-     */
-    static final double REMOTE_PART = 0.5;
-    /** The cost of an engine without the session's prompt, in requests: a prompt is read in a tenth of a run. */
-    static final double COLD_COST = 1.5;
-    /** The cost of an endpoint that has just rejected a request for want of room, in requests. */
-    static final double FULL_COST = 12.0;
+    /** How much longer a request takes at an endpoint with all slots taken: steps grow with the tokens in the batch. */
+    static final double FULL_SLOWDOWN = 1.1;
+    /** The cost of another availability zone, in parts of the time: bytes between zones are dear. */
+    static final double REMOTE_FACTOR = 1.25;
+    /** The cost of an engine without the session's prompt, in parts of the time: the prompt is read again. */
+    static final double COLD_FACTOR = 1.08;
+    /** The cost of an endpoint that has just rejected a request for want of room, in parts of the time. */
+    static final double FULL_FACTOR = 4.0;
 
     private final EndpointRoster roster;
 
@@ -65,12 +65,7 @@
         double bestCost = 0;
         long bestRank = 0;
         for (KnownEndpoint each : candidates) {
-            double cost = each.inFlight();
-            cost += each.record().zone().equals(request.zone())
-                    ? 0
-                    : REMOTE_PART * each.record().slots();
-            cost += request.session().isEmpty() || each == home ? 0 : COLD_COST;
-            cost += each.isFull(nowMillis) ? FULL_COST : 0;
+            double cost = cost(each, request, each == home, nowMillis);
             long rank = rank(each, request);
             if (best == null || cost < bestCost || cost == bestCost && rank > bestRank) {
                 best = each;
@@ -81,6 +76,18 @@
         return best;
     }
 
+    private static double cost(KnownEndpoint each, ChoiceRequest request, boolean home, long nowMillis) {
+        double cost = each.pace(nowMillis)
+                * (1
+                        + FULL_SLOWDOWN
+                                * each.inFlight()
+                                / Math.max(1, each.record().slots()));
+        cost *= each.record().zone().equals(request.zone()) ? 1 : REMOTE_FACTOR;
+        cost *= request.session().isEmpty() || home ? 1 : COLD_FACTOR;
+        cost *= each.isFull(nowMillis) ? FULL_FACTOR : 1;
+        return cost;
+    }
+
     /** Returns the engine of a session: the one of the entry's zone with the highest rank, else of any zone. */
     private static KnownEndpoint home(List<KnownEndpoint> candidates, ChoiceRequest request) {
         KnownEndpoint home = null;
--- a/gateway/src/main/java/org/cicadahead/placement/EndpointRoster.java
+++ b/gateway/src/main/java/org/cicadahead/placement/EndpointRoster.java
@@ -162,6 +162,17 @@
         endpoint.succeeded();
     }
 
+    /**
+     * Takes the time that a request took at an endpoint.
+     *
+     * @param endpoint the endpoint
+     * @param pace the time in parts of the mean of requests of its kind
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void paced(KnownEndpoint endpoint, double pace, long nowMillis) {
+        endpoint.paced(pace, nowMillis);
+    }
+
     /**
      * Takes note that an endpoint did not answer, so that it is left out for a while.
      *
--- a/gateway/src/main/java/org/cicadahead/placement/KnownEndpoint.java
+++ b/gateway/src/main/java/org/cicadahead/placement/KnownEndpoint.java
@@ -12,6 +12,12 @@
     static final long FULL_MILLIS = 60;
 
     private static final int MAX_DOUBLINGS = 4;
+    /** The weight of a new sample of the pace; about the last five requests count. */
+    private static final double PACE_GAIN = 0.2;
+    /** Without samples the pace goes back to that of others over this time, in milliseconds, so that it is tried. */
+    private static final double PACE_MEMORY_MILLIS = 1_500;
+    /** The paces that are believed; one request may be many times as long as the mean by itself. */
+    private static final double MAX_PACE = 8;
 
     private EndpointRecord record;
     private long aliveMillis;
@@ -19,6 +25,8 @@
     private int failures;
     private long ejectedUntilMillis;
     private long fullUntilMillis;
+    private double pace = 1;
+    private long pacedMillis;
 
     KnownEndpoint(EndpointRecord record, long nowMillis) {
         this.record = record;
@@ -70,6 +78,17 @@
         ejectedUntilMillis = Long.MIN_VALUE;
     }
 
+    /** Takes the time that a request took, in parts of the mean of its kind. */
+    void paced(double sample, long nowMillis) {
+        pace = pace(nowMillis) + PACE_GAIN * (Math.min(MAX_PACE, sample) - pace(nowMillis));
+        pacedMillis = nowMillis;
+    }
+
+    /** Returns how slow the endpoint is; 1 for one like the others. */
+    double pace(long nowMillis) {
+        return 1 + (pace - 1) * Math.exp(-Math.max(0, nowMillis - pacedMillis) / PACE_MEMORY_MILLIS);
+    }
+
     void failed(long nowMillis) {
         long out = Math.min(MAX_EJECT_MILLIS, EJECT_MILLIS << Math.min(failures, MAX_DOUBLINGS));
         failures++;
--- a/gateway/src/test/java/org/cicadahead/placement/EndpointRosterTest.java
+++ b/gateway/src/test/java/org/cicadahead/placement/EndpointRosterTest.java
@@ -124,4 +124,25 @@
         }
         assertThat(choose("session", Set.of(), 10)).isEqualTo("far");
     }
+
+    /** Guards against requests that go on to an endpoint that has turned slow, and against never trying it again. */
+    @Test
+    void aSlowEndpointIsAvoidedForAWhile() {
+        roster.heard(ready("slow", 1), 0);
+        roster.heard(ready("fast", 1), 0);
+        for (int i = 0; i < 10; i++) {
+            roster.paced(roster.find("slow"), 5, 100);
+            roster.paced(roster.find("fast"), 0.9, 100);
+        }
+        for (int i = 0; i < 20; i++) {
+            assertThat(choose("session" + i, Set.of(), 110)).isEqualTo("fast");
+        }
+        roster.alive("slow", 10_000);
+        roster.alive("fast", 10_000);
+        Set<String> seen = new java.util.HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            seen.add(choose("session" + i, Set.of(), 12_000));
+        }
+        assertThat(seen).containsExactly("slow", "fast");
+    }
 }
