Count a program as under way once it was admitted, send the configuration to entries only, write the pages

Ruled out: a ranking by the number of turns (lines move between entries). Change: ProgramCensus, Watchers; docs/OPERATIONS.md, DEVELOPERS.md, incidents, glossary, design note.

--- a/gateway/src/main/java/org/cicadahead/gateway/ProgramCensus.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ProgramCensus.java
@@ -24,6 +24,7 @@
 
     private static final class Activity {
         private double requests;
+        private boolean begun;
         private long seenMillis;
     }
 
@@ -34,8 +35,7 @@
             return Standing.CALL;
         }
         Activity activity = programs.get(line.program());
-        boolean fresh = activity == null;
-        if (fresh) {
+        if (activity == null) {
             activity = new Activity();
             programs.put(line.program(), activity);
         }
@@ -47,7 +47,16 @@
         if (activity.requests > EXCESSIVE_REQUESTS) {
             return Standing.EXCESSIVE;
         }
-        boolean begins = fresh && admitted.caller().previousTurn().isEmpty();
-        return begins ? Standing.BEGINNING : Standing.UNDER_WAY;
+        boolean underWay = activity.begun || !admitted.caller().previousTurn().isEmpty();
+        return underWay ? Standing.UNDER_WAY : Standing.BEGINNING;
+    }
+
+    /** Takes note that a request of a program was admitted, so that the program is under way. */
+    synchronized void begun(AdmittedRequest admitted) {
+        ProgramLine line = admitted.caller().line();
+        Activity activity = line == null ? null : programs.get(line.program());
+        if (activity != null) {
+            activity.begun = true;
+        }
     }
 }
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
@@ -38,6 +38,7 @@
             return;
         }
         scope.trail().rated(scope.context().nowMillis());
+        scope.context().programs().begun(admitted);
         if (admitted.isTurn()) {
             TurnSession.open(scope, admitted);
         } else {
--- a/gateway/src/main/java/org/cicadahead/hub/Watchers.java
+++ b/gateway/src/main/java/org/cicadahead/hub/Watchers.java
@@ -43,7 +43,7 @@
             watchers.values().removeIf(other -> other.equals(daemon));
             watchers.put(responder, daemon);
             responder.part(new FleetUpdate(
-                    state.site(),
+                    daemon.role() == FleetRole.ENTRY ? state.site() : null,
                     roster.records(),
                     List.of(),
                     daemons(),
@@ -121,8 +121,17 @@
         tell(new FleetUpdate(null, null, null, daemons(), "", null));
     }
 
+    /** Only entries act on the configuration, which is by far the largest part of an update. */
+    private static FleetUpdate withoutSite(FleetUpdate update) {
+        return new FleetUpdate(
+                null, update.endpoints(), update.alive(), update.daemons(), update.storeFounder(), update.retired());
+    }
+
     private void tell(FleetUpdate update) {
         for (Responder responder : new ArrayList<>(watchers.keySet())) {
+            if (!watchers.containsKey(responder)) {
+                continue;
+            }
             if (responder.queuedBytes() > MAX_QUEUED_BYTES) {
                 LOG.warnf(
                         "hub: %s reads too slowly and is dropped",
@@ -130,7 +139,7 @@
                 watchers.remove(responder);
                 responder.fail("the watcher reads too slowly");
             } else {
-                responder.part(update);
+                responder.part(watchers.get(responder).role() == FleetRole.ENTRY ? update : withoutSite(update));
             }
         }
     }
