--- a/core/src/main/java/org/cicadahead/model/RefusalReason.java
+++ b/core/src/main/java/org/cicadahead/model/RefusalReason.java
@@ -92,6 +92,8 @@
     CALLER_TOO_SLOW(408, "The caller reads too slowly", false, 0),
     /** The caller closed the connection. */
     CALLER_GONE(499, "The caller closed the connection", false, 0),
+    /** The entry holds as many requests as its memory allows. */
+    ENTRY_OVERLOADED(503, "The entry is overloaded", true, 1),
     /** The process is shutting down. */
     SHUTTING_DOWN(503, "The process is shutting down", true, 1),
     /** An internal error, after which the request may have run. */
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
@@ -17,6 +17,7 @@
     private final DecisionLog decisions;
     private final ScheduledExecutorService timer;
     private final LongSupplier clock;
+    private final int maxActive;
     private final AtomicInteger active = new AtomicInteger();
     private volatile SiteIndex site;
 
@@ -28,7 +29,8 @@
             GatewayCounters counters,
             DecisionLog decisions,
             ScheduledExecutorService timer,
-            LongSupplier clock) {
+            LongSupplier clock,
+            int maxActive) {
         this.desk = desk;
         this.rates = rates;
         this.stores = stores;
@@ -37,6 +39,7 @@
         this.decisions = decisions;
         this.timer = timer;
         this.clock = clock;
+        this.maxActive = maxActive;
     }
 
     EndpointDesk desk() {
@@ -79,6 +82,11 @@
         return clock.getAsLong();
     }
 
+    /** Returns whether there is memory for another request. */
+    boolean hasRoom() {
+        return active.get() < maxActive;
+    }
+
     AtomicInteger active() {
         return active;
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
@@ -39,6 +39,12 @@
     /** After SIGTERM requests are served for this time, in milliseconds: two checks of the balancer, a second apart. */
     private static final long BALANCER_MILLIS = 3_200;
 
+    /**
+     * The heap that a request may take, in bytes: its body and its chain, each read, packed for the stores and sent.
+     * The requests that come at once after a freeze of the VM must not fill the heap.
+     */
+    private static final long REQUEST_BYTES = 256 * 1024;
+
     private static final Logger LOG = Logger.getLogger("cicadahead.gateway");
 
     private final GatewayConfig config;
@@ -61,7 +67,15 @@
         rates = new RateGate(config.name(), this::ask, GatewayNode::nowMillis);
         stores = new TurnStores(catalog, timer);
         context = new GatewayContext(
-                desk, rates, stores, endpoints, new GatewayCounters(metrics), decisions, timer, GatewayNode::nowMillis);
+                desk,
+                rates,
+                stores,
+                endpoints,
+                new GatewayCounters(metrics),
+                decisions,
+                timer,
+                GatewayNode::nowMillis,
+                (int) (Runtime.getRuntime().maxMemory() / REQUEST_BYTES));
         metrics.gauge("gateway.active", () -> () -> context.active().get());
         metrics.gauge("gateway.log_lines_dropped", () -> decisions::dropped);
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
@@ -1,6 +1,7 @@
 package org.cicadahead.gateway;
 
 import org.cicadahead.fleet.Standing;
+import org.cicadahead.model.RefusalReason;
 import org.cicadahead.site.SiteIndex;
 
 /**
@@ -8,11 +9,19 @@
  */
 final class RequestFlow {
 
+    /** When a caller should come back to an entry without room, in milliseconds: about one run. */
+    private static final long FULL_RETRY_MILLIS = 150;
+
     private RequestFlow() {}
 
     /** Serves a request. */
     static void serve(GatewayContext context, CallerRequest caller, CallerExchange exchange) {
+        boolean room = context.hasRoom();
         RequestScope scope = new RequestScope(context, caller, exchange);
+        if (!room) {
+            scope.refuse(new GatewayRefusal(RefusalReason.ENTRY_OVERLOADED, FULL_RETRY_MILLIS));
+            return;
+        }
         SiteIndex index = context.site();
         AdmittedRequest admitted;
         try {
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -29,6 +29,7 @@
 
 /** The way of a request between a caller and endpoints that fail in all ways. */
 class RequestFlowTest {
+    private static final int MAX_ACTIVE = 12;
     private static final String EVENT_1 = "id: 1\ndata: d1\n\n";
     private static final String EVENT_2 = "id: 2\ndata: d2\n\n";
 
@@ -69,7 +70,8 @@
                 new GatewayCounters(metrics),
                 DecisionLog.to(new PrintStream(OutputStream.nullOutputStream())),
                 timer,
-                GatewayNode::nowMillis);
+                GatewayNode::nowMillis,
+                MAX_ACTIVE);
         SiteOrganisation organisation = new SiteOrganisation("o", List.of(KeyDigests.of("k")), 0, 0, null);
         context.site(SiteIndex.of(new SiteConfiguration(
                 1,
@@ -293,6 +295,42 @@
         assertThat(caller.refusal.reason().notRun()).isTrue();
     }
 
+    /** Guards against a heap that fills up when many requests come at once after a freeze. */
+    @Test
+    void refusesWhatItsMemoryDoesNotAllow() {
+        for (int i = 0; i < MAX_ACTIVE; i++) {
+            RequestFlow.serve(context, safe("f" + i), new FakeExchange());
+        }
+        assertThat(endpoints.sent).hasSize(MAX_ACTIVE);
+        RequestFlow.serve(context, safe("more"), caller);
+        assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.ENTRY_OVERLOADED);
+        assertThat(caller.refusal.reason().notRun()).isTrue();
+        assertThat(endpoints.sent).hasSize(MAX_ACTIVE);
+        endpoints.last().answer(200, "done");
+        FakeExchange next = new FakeExchange();
+        RequestFlow.serve(context, safe("next"), next);
+        assertThat(next.refusal).isNull();
+    }
+
+    private static CallerRequest safe(String attempt) {
+        return new CallerRequest(
+                attempt,
+                "GET",
+                "/safe/",
+                "/safe/",
+                "h",
+                List.of(),
+                new byte[0],
+                "k",
+                1_000,
+                null,
+                "",
+                List.of(),
+                0,
+                -1,
+                GatewayNode.nowMillis());
+    }
+
     /** Guards against a wrong incarnation that is asked again. */
     @Test
     void anotherIncarnationAtTheAddressIsLeftOut() {
