--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -339,25 +339,7 @@
         endpoints.last().head(421, false, true);
         endpoints.last().answer(200, "done");
         for (int i = 0; i < 10; i++) {
-            RequestFlow.serve(
-                    context,
-                    new CallerRequest(
-                            "n" + i,
-                            "GET",
-                            "/safe/",
-                            "/safe/",
-                            "h",
-                            List.of(),
-                            new byte[0],
-                            "k",
-                            1_000,
-                            null,
-                            "",
-                            List.of(),
-                            0,
-                            -1,
-                            GatewayNode.nowMillis()),
-                    new FakeExchange());
+            RequestFlow.serve(context, safe("n" + i), new FakeExchange());
             assertThat(endpoints.last().request.instance()).isNotEqualTo(wrong);
         }
     }
--- a/gateway/src/test/java/org/cicadahead/placement/EndpointRosterTest.java
+++ b/gateway/src/test/java/org/cicadahead/placement/EndpointRosterTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.cicadahead.fleet.EndpointPhase;
@@ -91,7 +92,7 @@
         for (int i = 0; i < 20; i++) {
             assertThat(choose("session" + i, Set.of(), 150)).isEqualTo("b");
         }
-        Set<String> seen = new java.util.HashSet<>();
+        Set<String> seen = new HashSet<>();
         for (int i = 0; i < 20; i++) {
             seen.add(choose("session" + i, Set.of(), 100 + KnownEndpoint.EJECT_MILLIS));
         }
@@ -139,7 +140,7 @@
         }
         roster.alive("slow", 10_000);
         roster.alive("fast", 10_000);
-        Set<String> seen = new java.util.HashSet<>();
+        Set<String> seen = new HashSet<>();
         for (int i = 0; i < 20; i++) {
             seen.add(choose("session" + i, Set.of(), 12_000));
         }
