Add a randomized soak of the platform path on real processes

Ruled out: the fault table of prove, which knows the other roles and one fault at a time. Change: testbed soak: three hubs, three stores, two entries at loopback addresses of their own; kills, stops, freezes, cut, one-way and delayed links in four overlapping series drawn from a seed; checked are chains, receipts, runs at most once, true refusals, keys, budgets, configurations read back, and service after the faults.

--- a/testbed/src/main/java/org/cicadahead/testbed/Main.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/Main.java
@@ -6,6 +6,7 @@
 import org.cicadahead.testbed.emulator.ServiceCommand;
 import org.cicadahead.testbed.fleet.FleetException;
 import org.cicadahead.testbed.prove.ProveCommand;
+import org.cicadahead.testbed.soak.SoakCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -20,7 +21,8 @@
             ProveCommand.class,
             LoadCommand.class,
             CapacityCommand.class,
-            BenchCommand.class
+            BenchCommand.class,
+            SoakCommand.class
         })
 public final class Main {
 
--- /dev/null
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCaller.java
@@ -0,0 +1,125 @@
+package org.cicadahead.testbed.soak;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.BooleanSupplier;
+
+/** A caller that runs programs one after another: a chain of kept turns with a call that may run once in between. */
+final class SoakCaller implements Runnable {
+    private static final int TURNS = 4;
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int UNAUTHORIZED = 401;
+    private static final int PAYMENT_REQUIRED = 402;
+    private static final int TOO_MANY = 429;
+    private static final int UNAVAILABLE = 503;
+    private static final long PAUSE_MILLIS = 20;
+
+    private final int number;
+    private final SoakFleet fleet;
+    private final SoakHttp http;
+    private final SoakJudge judge;
+    private final Random random;
+    private final BooleanSupplier running;
+    private int programs;
+
+    SoakCaller(int number, SoakFleet fleet, SoakHttp http, SoakJudge judge, Random random, BooleanSupplier running) {
+        this.number = number;
+        this.fleet = fleet;
+        this.http = http;
+        this.judge = judge;
+        this.random = random;
+        this.running = running;
+    }
+
+    @Override
+    public void run() {
+        while (running.getAsBoolean()) {
+            program("c" + number + "p" + programs++);
+            try {
+                Thread.sleep(PAUSE_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    private void program(String program) {
+        String history = "";
+        String previous = "";
+        for (int turn = 0; turn < TURNS && running.getAsBoolean(); turn++) {
+            String attempt = program + "t" + turn;
+            String input = "input-" + attempt + ";";
+            SoakHttp.Answer answer = turn(program, attempt, previous, input);
+            if (answer.status() != OK) {
+                check(attempt, previous, answer);
+                return;
+            }
+            judge.served();
+            byte[] prompt = (history + input).getBytes(StandardCharsets.UTF_8);
+            if (!answer.sealed()) {
+                judge.violation("a success without a receipt: " + attempt);
+            }
+            if (!answer.body().contains("data: " + SoakEndpoint.checksum(prompt) + "\n")
+                    || !answer.body().endsWith("data: end-" + attempt + "\n\n")) {
+                judge.violation("the endpoint got another chain, or the answer is not whole: " + attempt);
+                return;
+            }
+            history += input + SoakEndpoint.events(prompt, attempt);
+            previous = attempt;
+            callOnce(program, attempt + "x");
+        }
+    }
+
+    private SoakHttp.Answer turn(String program, String attempt, String previous, String input) {
+        Map<String, String> headers = headers(program, attempt);
+        headers.put("X-Token-Budget", "100000");
+        headers.put("X-Token-Count", "10,100");
+        if (!previous.isEmpty()) {
+            headers.put("X-Previous-Turn", previous);
+        }
+        return http.call("POST", entry(), "/turns/x", headers, input);
+    }
+
+    private void callOnce(String program, String attempt) {
+        judge.askedOnce(attempt);
+        SoakHttp.Answer answer = http.call("POST", entry(), "/once/x", headers(program, attempt), "once");
+        if (answer.status() == OK) {
+            judge.served();
+        } else {
+            check(attempt, "", answer);
+        }
+    }
+
+    private Map<String, String> headers(String program, String attempt) {
+        judge.asked();
+        Map<String, String> headers = new HashMap<>();
+        headers.put("X-Attempt-Id", attempt);
+        headers.put("X-Key", "soak-key");
+        headers.put("X-Deadline-Ms", "3000");
+        headers.put("X-Program-Id", program);
+        headers.put("X-Session-Id", program);
+        return headers;
+    }
+
+    private void check(String attempt, String previous, SoakHttp.Answer answer) {
+        switch (answer.status()) {
+            case TOO_MANY, UNAVAILABLE -> judge.notRun(attempt);
+            case UNAUTHORIZED -> judge.violation("a key of the configuration was refused: " + attempt);
+            case PAYMENT_REQUIRED -> judge.violation("a budget that is not spent was refused: " + attempt);
+            case NOT_FOUND ->
+                judge.violation("a turn that was answered whole is not found: " + previous + " by " + attempt + " "
+                        + answer.body());
+            default -> {
+                // 502, 504 and a broken connection promise nothing.
+            }
+        }
+    }
+
+    private String entry() {
+        return fleet.callers(random.nextInt(SoakFleet.ENTRIES));
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCommand.java
@@ -0,0 +1,149 @@
+package org.cicadahead.testbed.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.Callable;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+import org.cicadahead.testbed.fleet.Binaries;
+import org.cicadahead.testbed.fleet.FleetException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs the roles of the platform path as processes, disturbs them from outside and checks what both ends see. */
+@Command(
+        name = "soak",
+        mixinStandardHelpOptions = true,
+        description = "Runs hubs, stores and entries under random faults and checks their promises.")
+public final class SoakCommand implements Callable<Integer> {
+    private static final int CALLERS = 6;
+    private static final int ENDPOINTS = 3;
+    private static final long REPORT_MILLIS = 500;
+    private static final long CHANGE_MILLIS = 1_500;
+    private static final long START_LIMIT_MILLIS = 30_000;
+    private static final long RECOVER_LIMIT_MILLIS = 15_000;
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    @Option(names = "--seed", defaultValue = "1", description = "Draws the faults. Default: ${DEFAULT-VALUE}.")
+    private long seed;
+
+    @Option(names = "--seconds", defaultValue = "20", description = "How long faults go on. Default: ${DEFAULT-VALUE}.")
+    private long seconds;
+
+    private final AtomicBoolean calling = new AtomicBoolean(true);
+    private final AtomicBoolean disturbing = new AtomicBoolean(true);
+    private final SoakJudge judge = new SoakJudge();
+
+    /** Creates the command. */
+    public SoakCommand() {}
+
+    @Override
+    public Integer call() throws FleetException, IOException, InterruptedException {
+        Path folder = Files.createTempDirectory("soak");
+        System.out.printf("soak: seed %d, %d s, logs in %s%n", seed, seconds, folder);
+        Path jar = Binaries.locate().root().resolve("target").resolve("cicadahead-platform.jar");
+        List<SoakEndpoint> endpoints = new ArrayList<>();
+        try (SoakFleet fleet = new SoakFleet(folder, jar)) {
+            for (int i = 0; i < ENDPOINTS; i++) {
+                endpoints.add(SoakEndpoint.start("endpoint-" + i, judge));
+            }
+            fleet.startAll();
+            play(fleet, endpoints);
+        } finally {
+            for (SoakEndpoint endpoint : endpoints) {
+                endpoint.close();
+            }
+        }
+        List<String> violations = judge.verdict();
+        violations.forEach(text -> System.out.println("soak: VIOLATION " + text));
+        System.out.println("soak: " + judge.summary());
+        System.out.println((violations.isEmpty() ? 1 : 0) + " passed, " + (violations.isEmpty() ? 0 : 1) + " failed");
+        return violations.isEmpty() ? 0 : 1;
+    }
+
+    private void play(SoakFleet fleet, List<SoakEndpoint> endpoints) throws FleetException, InterruptedException {
+        SoakHttp http = SoakHttp.start();
+        SoakOperator operator = new SoakOperator(fleet, http, judge, new Random(seed));
+        begin(operator, endpoints);
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            threads.add(thread(new SoakCaller(i, fleet, http, judge, new Random(seed + i), calling::get)));
+        }
+        await("the first program", START_LIMIT_MILLIS, operator, endpoints, () -> judge.servedSoFar() > CALLERS);
+        List<Thread> faults = new ArrayList<>();
+        faults.add(thread(
+                new SoakFaults(fleet.role("hub"), endpoints, judge, new Random(seed * 31 + 1), disturbing::get)));
+        faults.add(thread(
+                new SoakFaults(fleet.role("store"), endpoints, judge, new Random(seed * 31 + 2), disturbing::get)));
+        faults.add(thread(
+                new SoakFaults(fleet.role("entry"), endpoints, judge, new Random(seed * 31 + 3), disturbing::get)));
+        faults.add(thread(new SoakFaults(List.of(), endpoints, judge, new Random(seed * 31 + 4), disturbing::get)));
+        long until = now() + seconds * MILLIS_PER_SECOND;
+        operate(operator, endpoints, () -> now() >= until);
+        disturbing.set(false);
+        for (Thread fault : faults) {
+            fault.join();
+        }
+        int before = judge.servedSoFar();
+        await(
+                "service after the faults",
+                RECOVER_LIMIT_MILLIS,
+                operator,
+                endpoints,
+                () -> judge.servedSoFar() > before + CALLERS);
+        await("a read after the faults", RECOVER_LIMIT_MILLIS, operator, endpoints, operator::read);
+        calling.set(false);
+        for (Thread each : threads) {
+            each.join();
+        }
+    }
+
+    private void begin(SoakOperator operator, List<SoakEndpoint> endpoints) throws InterruptedException {
+        await("the first configuration", START_LIMIT_MILLIS, operator, List.of(), operator::change);
+        endpoints.forEach(operator::report);
+    }
+
+    /** Changes the configuration, reads it and reports the endpoints until a condition holds. */
+    private static void operate(SoakOperator operator, List<SoakEndpoint> endpoints, BooleanSupplier ended)
+            throws InterruptedException {
+        long changeDue = now();
+        while (!ended.getAsBoolean()) {
+            endpoints.forEach(operator::report);
+            operator.read();
+            if (now() >= changeDue) {
+                operator.change();
+                changeDue = now() + CHANGE_MILLIS;
+            }
+            Thread.sleep(REPORT_MILLIS);
+        }
+    }
+
+    private void await(
+            String what,
+            long limitMillis,
+            SoakOperator operator,
+            List<SoakEndpoint> endpoints,
+            BooleanSupplier condition)
+            throws InterruptedException {
+        long limit = now() + limitMillis;
+        operate(operator, endpoints, () -> now() >= limit || condition.getAsBoolean());
+        if (now() >= limit && !condition.getAsBoolean()) {
+            judge.violation("not in time: " + what);
+        }
+    }
+
+    private static Thread thread(Runnable body) {
+        Thread thread = new Thread(body);
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    private static long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakEndpoint.java
@@ -0,0 +1,119 @@
+package org.cicadahead.testbed.soak;
+
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.zip.CRC32C;
+import org.cicadahead.testbed.fleet.FaultyLink;
+import org.cicadahead.testbed.fleet.FleetException;
+import org.cicadahead.testbed.fleet.Ports;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+
+/** An endpoint behind a faulty link. It answers with a checksum of what it received. */
+final class SoakEndpoint implements Closeable {
+    private static final int OK = 200;
+    private static final int MISDIRECTED = 421;
+
+    private final String id;
+    private final Server server;
+    private final FaultyLink link;
+
+    private SoakEndpoint(String id, Server server, FaultyLink link) {
+        this.id = id;
+        this.server = server;
+        this.link = link;
+    }
+
+    static SoakEndpoint start(String id, SoakJudge judge) throws FleetException {
+        Server server = new Server();
+        ServerConnector connector = new ServerConnector(server, 1, 1);
+        connector.setHost("127.0.0.1");
+        server.addConnector(connector);
+        server.setHandler(new Answers(id, judge));
+        try {
+            server.start();
+        } catch (Exception e) {
+            throw new FleetException("the endpoint " + id + " cannot start", e);
+        }
+        return new SoakEndpoint(id, server, FaultyLink.start(Ports.free(), connector.getLocalPort()));
+    }
+
+    /** Returns the checksum with which the endpoint answers a text. */
+    static String checksum(byte[] text) {
+        CRC32C sum = new CRC32C();
+        sum.update(text);
+        return Long.toHexString(sum.getValue());
+    }
+
+    /** Returns the data of the events with which the endpoint answers a text, each with a line feed. */
+    static String events(byte[] text, String attempt) {
+        return checksum(text) + "\nend-" + attempt + "\n";
+    }
+
+    FaultyLink link() {
+        return link;
+    }
+
+    String id() {
+        return id;
+    }
+
+    String report(long sequence) {
+        return "{\"service\":\"soak\",\"address\":\"127.0.0.1:" + link.port() + "\",\"zone\":\"z\",\"version\":\"v\","
+                + "\"slots\":16,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":" + sequence + "}";
+    }
+
+    @Override
+    public void close() throws IOException {
+        link.close();
+        try {
+            server.stop();
+        } catch (Exception e) {
+            throw new IOException("the endpoint " + id + " does not stop", e);
+        }
+    }
+
+    private static final class Answers extends Handler.Abstract {
+        private final String id;
+        private final SoakJudge judge;
+
+        Answers(String id, SoakJudge judge) {
+            this.id = id;
+            this.judge = judge;
+        }
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) throws IOException {
+            String attempt = request.getHeaders().get("X-Attempt-Id");
+            response.getHeaders().put("X-Attempt-Id", attempt);
+            if (!id.equals(request.getHeaders().get("X-Expect-Instance"))) {
+                response.setStatus(MISDIRECTED);
+                response.getHeaders().put("X-Not-Executed", "1");
+                callback.succeeded();
+                return true;
+            }
+            ByteArrayOutputStream body = new ByteArrayOutputStream();
+            Content.Source.asInputStream(request).transferTo(body);
+            judge.ran(attempt);
+            if (request.getHeaders().get("X-Key") != null) {
+                judge.violation("an endpoint saw a key: " + attempt);
+            }
+            response.setStatus(OK);
+            response.getHeaders().put("X-Response-Seal", "seal-" + attempt);
+            response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
+            String[] data = events(body.toByteArray(), attempt).split("\n");
+            String text = "id: 1\ndata: " + data[0] + "\n\nid: 2\ndata: " + data[1] + "\n\n";
+            response.write(true, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), callback);
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
@@ -0,0 +1,131 @@
+package org.cicadahead.testbed.soak;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.cicadahead.testbed.fleet.FleetException;
+import org.cicadahead.testbed.fleet.ManagedProcess;
+import org.cicadahead.testbed.fleet.Ports;
+
+/** The processes of a small deployment, each at a loopback address of its own. */
+final class SoakFleet implements Closeable {
+    static final int HUBS = 3;
+    static final int STORES = 3;
+    static final int ENTRIES = 2;
+
+    private static final int FIRST_HOST = 11;
+    private static final long EXIT_MILLIS = 10_000;
+
+    private final Path folder;
+    private final Path jar;
+    private final int peerPort = Ports.free();
+    private final int controlPort = Ports.free();
+    private final int callerPort = Ports.free();
+    private final int readyPort = Ports.free();
+    private final List<Member> members = new ArrayList<>();
+
+    /** A process with its settings. */
+    final class Member {
+        final String role;
+        final String host;
+        final ManagedProcess process;
+        private final Path settings;
+
+        Member(String role, int number) {
+            this.role = role;
+            this.host = "127.0.77." + (FIRST_HOST + members.size());
+            this.settings = folder.resolve(role + number + ".json");
+            this.process = new ManagedProcess(
+                    role + number,
+                    List.of(
+                            Path.of(System.getProperty("java.home"), "bin", "java")
+                                    .toString(),
+                            "-Xmx96m",
+                            "-XX:+UseSerialGC",
+                            "-XX:TieredStopAtLevel=1",
+                            "-jar",
+                            jar.toString(),
+                            role,
+                            "--settings",
+                            settings.toString()),
+                    folder.resolve(role + number + ".log"));
+        }
+
+        void start(boolean first) throws FleetException {
+            try {
+                Files.writeString(settings, settings(this, first));
+            } catch (IOException e) {
+                throw new FleetException("cannot write " + settings, e);
+            }
+            process.start();
+        }
+    }
+
+    SoakFleet(Path folder, Path jar) throws FleetException {
+        this.folder = folder;
+        this.jar = jar;
+        add("hub", HUBS);
+        add("store", STORES);
+        add("entry", ENTRIES);
+    }
+
+    void startAll() throws FleetException {
+        for (Member member : members) {
+            member.start(true);
+        }
+    }
+
+    List<Member> role(String role) {
+        return members.stream().filter(member -> member.role.equals(role)).toList();
+    }
+
+    String control(int hub) {
+        return role("hub").get(hub).host + ":" + controlPort;
+    }
+
+    String callers(int entry) {
+        return role("entry").get(entry).host + ":" + callerPort;
+    }
+
+    @Override
+    public void close() {
+        for (Member member : members) {
+            try {
+                if (member.process.isAlive()) {
+                    member.process.thaw();
+                    member.process.kill();
+                    member.process.awaitExit(EXIT_MILLIS);
+                }
+            } catch (FleetException e) {
+                System.err.println("soak: " + e.getMessage());
+            }
+        }
+    }
+
+    private void add(String role, int count) {
+        for (int i = 0; i < count; i++) {
+            members.add(new Member(role, i));
+        }
+    }
+
+    private String settings(Member member, boolean first) {
+        StringBuilder seeds = new StringBuilder();
+        for (Member hub : role("hub")) {
+            seeds.append(seeds.length() == 0 ? "" : ",")
+                    .append('"')
+                    .append(hub.host)
+                    .append(':')
+                    .append(controlPort)
+                    .append('"');
+        }
+        return "{\"node_name\":\"" + member.process.name() + "\",\"zone\":\"z\",\"ip\":\"" + member.host
+                + "\",\"listen\":{\"front\":\"" + member.host + ":" + callerPort + "\",\"ready\":\"" + member.host + ":"
+                + readyPort + "\",\"control\":\"" + member.host + ":" + controlPort + "\"},\"port_range\":[" + peerPort
+                + "," + (peerPort + 1) + "],\"seeds\":[" + seeds + "],\"bootstrap\":" + first + ",\"data_dir\":\""
+                + folder.resolve("data-" + member.process.name()) + "\",\"heartbeat_ms\":500,"
+                + "\"fault_tolerance\":{\"machines\":1},\"bounds\":{\"grace_s\":8}}";
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakOperator.java
@@ -0,0 +1,77 @@
+package org.cicadahead.testbed.soak;
+
+import java.util.Map;
+import java.util.Random;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The operator and the reports of the endpoints. Used by one thread. */
+final class SoakOperator {
+    private static final int OK = 200;
+    private static final Pattern VERSION = Pattern.compile("\\{\"version\":(\\d+),");
+
+    private final SoakFleet fleet;
+    private final SoakHttp http;
+    private final SoakJudge judge;
+    private final Random random;
+    private long version;
+    private long acknowledged;
+    private long sequence;
+
+    SoakOperator(SoakFleet fleet, SoakHttp http, SoakJudge judge, Random random) {
+        this.fleet = fleet;
+        this.http = http;
+        this.judge = judge;
+        this.random = random;
+    }
+
+    /** Submits the next version; returns whether it was acknowledged. */
+    boolean change() {
+        version++;
+        SoakHttp.Answer answer = http.call("PUT", hub(), "/-/config", Map.of(), document(version));
+        if (answer.status() == OK) {
+            acknowledged = Math.max(acknowledged, version);
+            return true;
+        }
+        return false;
+    }
+
+    /** Reads the configuration; an older one than was acknowledged before breaks a promise. */
+    boolean read() {
+        SoakHttp.Answer answer = http.call("GET", hub(), "/-/config", Map.of(), "");
+        if (answer.status() != OK) {
+            return false;
+        }
+        Matcher found = VERSION.matcher(answer.body());
+        long read = found.find() ? Long.parseLong(found.group(1)) : 0;
+        if (read < acknowledged) {
+            judge.violation("version " + read + " was read after version " + acknowledged + " was acknowledged");
+        }
+        return true;
+    }
+
+    /** Reports an endpoint to a hub; returns whether it was acknowledged. */
+    boolean report(SoakEndpoint endpoint) {
+        return http.call("PUT", hub(), "/-/instances/" + endpoint.id(), Map.of(), endpoint.report(++sequence))
+                        .status()
+                == OK;
+    }
+
+    private String hub() {
+        return fleet.control(random.nextInt(SoakFleet.HUBS));
+    }
+
+    private static String document(long number) {
+        return "{\"version\":" + number + ",\"routes\":[" + route("turns", "streaming", true) + ","
+                + route("once", "non_idempotent", false) + "," + route("idle" + number, "idempotent", false)
+                + "],\"services\":[{\"name\":\"soak\",\"health_path\":\"/health\",\"max_connections\":100,"
+                + "\"engine\":{\"slots\":16,\"kv_capacity\":1000,\"stride\":1}}],\"tenants\":[{\"name\":\"o\","
+                + "\"api_keys\":[\"soak-key\"],\"rate_per_s\":2000,\"burst\":2000}]}";
+    }
+
+    private static String route(String name, String type, boolean kept) {
+        return "{\"name\":\"" + name + "\",\"host\":\"soak.example\",\"path_prefix\":\"/" + name
+                + "/\",\"route_type\":\"" + type + "\",\"timeout_ms\":3000,\"service\":\"soak\",\"max_attempts\":2,"
+                + "\"retain\":" + kept + ",\"retention_s\":60.0}";
+    }
+}
