Remove a field and a method that nothing used

Cause: the last reading of the diff: EndpointRequest.reusable promised what the client does not do. Ruled out: to act on it (a request that may be lost on an idle connection is answered as lost, never repeated). Change: both removed, behaviour as before.

--- a/gateway/src/main/java/org/cicadahead/gateway/Attempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/Attempts.java
@@ -126,8 +126,7 @@
                 placement.record().id(),
                 admitted.organisationName(),
                 left,
-                lastEvent,
-                repeatable);
+                lastEvent);
         Runnable cancel = scope.context().endpoints().send(request, new Listener(attempt));
         if (attempt == generation && placement != null) {
             cancellation = cancel;
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointRequest.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointRequest.java
@@ -12,8 +12,6 @@
  * @param organisation the organisation that it runs for; empty on open routes
  * @param timeLeftMillis how long the endpoint may work, in milliseconds
  * @param afterEvent the last event that the caller has, if a stream is resumed; -1 otherwise
- * @param reusable whether a connection that was idle may carry it; false if the request must not get lost on a
- *     connection that the endpoint has closed meanwhile
  */
 public record EndpointRequest(
         CallerRequest caller,
@@ -22,8 +20,7 @@
         String instance,
         String organisation,
         long timeLeftMillis,
-        long afterEvent,
-        boolean reusable) {
+        long afterEvent) {
 
     /**
      * Checks the values.
--- a/gateway/src/main/java/org/cicadahead/watch/FleetWatch.java
+++ b/gateway/src/main/java/org/cicadahead/watch/FleetWatch.java
@@ -119,15 +119,6 @@
         return found;
     }
 
-    /**
-     * Returns how many hubs have told their state since they were last lost.
-     *
-     * @return the number
-     */
-    public synchronized long connected() {
-        return links.values().stream().filter(link -> link.told).count();
-    }
-
     @Override
     public synchronized void close() {
         closed = true;
