Announce the end of a connection whose request is refused unread

A refusal that comes before the body was read (a key in the URL) was answered without 'Connection: close'; Jetty then closes the connection or waits on it, whichever the arrival of the body decides, and the caller's next request on it is lost.

--- a/entry/src/main/java/org/cicadahead/caller/CallerHandler.java
+++ b/entry/src/main/java/org/cicadahead/caller/CallerHandler.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cicadahead.model.RefusalReason;
 import org.cicadahead.model.RequestId;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -41,6 +42,10 @@
         try {
             parser.parse(id, new byte[0]);
         } catch (RefusalException e) {
+            if (request.getLength() != 0) {
+                // Jetty closes a connection whose request was not read, and a caller must not send more on it.
+                response.getHeaders().put(HttpHeader.CONNECTION, "close");
+            }
             answer.refuse(e.refusal());
             return true;
         }
--- a/entry/src/test/java/org/cicadahead/entry/CallerApiTest.java
+++ b/entry/src/test/java/org/cicadahead/entry/CallerApiTest.java
@@ -184,6 +184,23 @@
         Fixture.await(() -> fixture.refusals("caller_gone") == 1);
     }
 
+    /**
+     * Guards against a kept connection that is closed without notice, on which the caller's next request is lost: a
+     * refusal that comes before the body was read must say that the connection ends.
+     */
+    @Test
+    void refusalBeforeTheBodyIsReadAnnouncesTheEndOfTheConnection() throws Exception {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), fixture.entry.httpPort())) {
+            socket.setSoTimeout(15_000);
+            String head = "POST /v1/chat/completions?key=secret HTTP/1.1\r\nHost: x\r\n" + AUTH
+                    + "Content-Length: 1000\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+            ByteArrayOutputStream answer = new ByteArrayOutputStream();
+            socket.getInputStream().transferTo(answer);
+            assertThat(answer.toString(StandardCharsets.UTF_8)).containsMatch("(?i)connection: close");
+        }
+    }
+
     @Test
     void slowCallerIsCancelledAndOthersAreServed() throws Exception {
         CompletableFuture<Void> cancelled = new CompletableFuture<>();
