--- a/control/src/main/java/org/cicadahead/control/ControlAdmin.java
+++ b/control/src/main/java/org/cicadahead/control/ControlAdmin.java
@@ -1,6 +1,5 @@
 package org.cicadahead.control;
 
-import java.net.InetSocketAddress;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -30,6 +29,7 @@
 import org.cicadahead.protocol.ReadProgram;
 import org.cicadahead.state.ConfigurationTable;
 import org.cicadahead.state.HistoryException;
+import org.cicadahead.wire.Addresses;
 import org.cicadahead.wire.PeerClient;
 
 /** Serves operators from the tables of control. Safe for use by several threads. */
@@ -63,13 +63,10 @@
     @Override
     public Optional<String> leaderAdminAddress() {
         String leader = leadership.leaderAddress();
-        int colon = leader.lastIndexOf(':');
-        if (colon <= 0) {
+        if (leader.isEmpty()) {
             return Optional.empty();
         }
-        InetSocketAddress address =
-                new InetSocketAddress(leader.substring(0, colon), Integer.parseInt(leader.substring(colon + 1)));
-        PeerClient client = PeerClient.to(address, catalog);
+        PeerClient client = PeerClient.to(Addresses.parse(leader), catalog);
         try {
             Message reply = client.call(new FindAdmin(), FIND_TIMEOUT_MILLIS).get();
             return reply instanceof AdminAddress found ? Optional.of(found.address()) : Optional.empty();
--- a/control/src/main/java/org/cicadahead/control/ControlNode.java
+++ b/control/src/main/java/org/cicadahead/control/ControlNode.java
@@ -7,8 +7,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
+import org.cicadahead.node.DaemonThreads;
 import org.cicadahead.node.Node;
 import org.cicadahead.node.NodeException;
 import org.cicadahead.operator.AdminServer;
@@ -135,14 +135,6 @@
         LOG.info("control: Stopped");
     }
 
-    private static ThreadFactory named(String name) {
-        return task -> {
-            Thread thread = new Thread(task, name);
-            thread.setDaemon(true);
-            return thread;
-        };
-    }
-
     /** What a node is made of, in the order in which it is started. */
     private static final class Parts {
         private final ExecutorService workers;
@@ -153,8 +145,8 @@
         private AdminServer admin;
 
         Parts(ControlConfig config) {
-            workers = Executors.newFixedThreadPool(config.workers(), named("control-worker"));
-            timer = Executors.newSingleThreadScheduledExecutor(named("control-timer"));
+            workers = Executors.newFixedThreadPool(config.workers(), DaemonThreads.named("control-worker"));
+            timer = Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("control-timer"));
         }
 
         ControlNode start(ControlConfig config, MetricRegistry metrics, ReplicationConfig replication)
--- a/core/src/main/java/org/cicadahead/fleet/FleetUpdate.java
+++ b/core/src/main/java/org/cicadahead/fleet/FleetUpdate.java
@@ -1,5 +1,6 @@
 package org.cicadahead.fleet;
 
+import java.util.Collection;
 import java.util.List;
 import org.cicadahead.protocol.Message;
 import org.cicadahead.site.SiteConfiguration;
@@ -28,4 +29,43 @@
         endpoints = endpoints == null ? List.of() : List.copyOf(endpoints);
         alive = alive == null ? List.of() : List.copyOf(alive);
     }
+
+    /**
+     * Returns an update of one endpoint.
+     *
+     * @param endpoint the endpoint, new or changed
+     * @return the update
+     */
+    public static FleetUpdate of(EndpointRecord endpoint) {
+        return new FleetUpdate(null, List.of(endpoint), null, null, "", null);
+    }
+
+    /**
+     * Returns an update of endpoints that have reported without a change.
+     *
+     * @param ids their ids
+     * @return the update
+     */
+    public static FleetUpdate ofAlive(Collection<String> ids) {
+        return new FleetUpdate(null, null, List.copyOf(ids), null, "", null);
+    }
+
+    /**
+     * Returns an update of the daemons.
+     *
+     * @param daemons all daemons that watch the hub, and the hub itself
+     * @return the update
+     */
+    public static FleetUpdate ofDaemons(List<DaemonPlace> daemons) {
+        return new FleetUpdate(null, null, null, daemons, "", null);
+    }
+
+    /**
+     * Returns this update without the configuration, which is by far its largest part.
+     *
+     * @return the update
+     */
+    public FleetUpdate withoutSite() {
+        return site == null ? this : new FleetUpdate(null, endpoints, alive, daemons, storeFounder, retired);
+    }
 }
--- a/gateway/src/main/java/org/cicadahead/watch/DaemonThreads.java
+++ b/core/src/main/java/org/cicadahead/node/DaemonThreads.java
@@ -1,11 +1,9 @@
-package org.cicadahead.watch;
+package org.cicadahead.node;
 
 import java.util.concurrent.ThreadFactory;
 
 /** Makes named threads that do not keep a process alive. */
 public final class DaemonThreads {
-    private static final long STACK_BYTES = 256 * 1024;
-
     private DaemonThreads() {}
 
     /**
@@ -16,7 +14,7 @@
      */
     public static ThreadFactory named(String name) {
         return task -> {
-            Thread thread = new Thread(null, task, name, STACK_BYTES);
+            Thread thread = new Thread(task, name);
             thread.setDaemon(true);
             return thread;
         };
--- a/core/src/main/java/org/cicadahead/site/SiteConfiguration.java
+++ b/core/src/main/java/org/cicadahead/site/SiteConfiguration.java
@@ -1,7 +1,9 @@
 package org.cicadahead.site;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import org.cicadahead.model.KeyDigest;
@@ -62,6 +64,19 @@
         return site;
     }
 
+    /**
+     * Returns the organisations by their names.
+     *
+     * @return the organisations; empty if requests need no keys
+     */
+    public Map<String, SiteOrganisation> organisationsByName() {
+        Map<String, SiteOrganisation> byName = new HashMap<>();
+        if (organisations != null) {
+            organisations.forEach(organisation -> byName.put(organisation.name(), organisation));
+        }
+        return byName;
+    }
+
     private void checkServices() throws SiteException {
         Set<String> names = new HashSet<>();
         for (SiteService service : services) {
--- a/core/src/main/java/org/cicadahead/site/SiteException.java
+++ b/core/src/main/java/org/cicadahead/site/SiteException.java
@@ -12,14 +12,4 @@
     public SiteException(String message) {
         super(message);
     }
-
-    /**
-     * Creates the exception.
-     *
-     * @param message what is wrong, for the operator
-     * @param cause the cause
-     */
-    public SiteException(String message, Throwable cause) {
-        super(message, cause);
-    }
 }
--- a/gateway/src/main/java/org/cicadahead/watch/Addresses.java
+++ b/core/src/main/java/org/cicadahead/wire/Addresses.java
@@ -1,4 +1,4 @@
-package org.cicadahead.watch;
+package org.cicadahead.wire;
 
 import java.net.InetSocketAddress;
 
@@ -21,14 +21,4 @@
         }
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
-
-    /**
-     * Returns the text of an address.
-     *
-     * @param address the address
-     * @return host and port
-     */
-    public static String text(InetSocketAddress address) {
-        return address.getHostString() + ":" + address.getPort();
-    }
 }
--- a/core/src/main/java/org/cicadahead/wire/ControlClient.java
+++ b/core/src/main/java/org/cicadahead/wire/ControlClient.java
@@ -106,14 +106,10 @@
         clients.values().forEach(PeerClient::close);
     }
 
-    /** Parses {@code host:port}; returns null if the text is not an address. */
+    /** Returns the address that a replica told, or null if it told none. */
     private static InetSocketAddress parse(String text) {
-        int colon = text.lastIndexOf(':');
-        if (colon <= 0) {
-            return null;
-        }
         try {
-            return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+            return Addresses.parse(text);
         } catch (IllegalArgumentException e) {
             return null;
         }
--- a/core/src/main/java/org/cicadahead/wire/Responder.java
+++ b/core/src/main/java/org/cicadahead/wire/Responder.java
@@ -1,5 +1,6 @@
 package org.cicadahead.wire;
 
+import java.util.concurrent.CompletableFuture;
 import org.cicadahead.protocol.Message;
 
 /** Takes the answer to one request. Safe for use by several threads. */
@@ -20,6 +21,21 @@
      */
     void reply(Message reply);
 
+    /**
+     * Sends the last answer as soon as it is there, or reports why there is none.
+     *
+     * @param answer the answer
+     */
+    default void replyWith(CompletableFuture<? extends Message> answer) {
+        answer.whenComplete((reply, failure) -> {
+            if (failure == null) {
+                reply(reply);
+            } else {
+                fail(String.valueOf(failure.getMessage()));
+            }
+        });
+    }
+
     /**
      * Reports that the request cannot be served. Later calls are ignored.
      *
--- a/core/src/main/java/org/cicadahead/wire/Timers.java
+++ b/core/src/main/java/org/cicadahead/wire/Timers.java
@@ -1,6 +1,7 @@
 package org.cicadahead.wire;
 
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import org.cicadahead.node.DaemonThreads;
 
 /** The timer thread of the transport. Its tasks are short and never block. */
 final class Timers {
@@ -13,11 +14,7 @@
     }
 
     private static ScheduledThreadPoolExecutor create() {
-        ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread thread = new Thread(task, "wire-timer");
-            thread.setDaemon(true);
-            return thread;
-        });
+        ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, DaemonThreads.named("wire-timer"));
         timer.setRemoveOnCancelPolicy(true);
         return timer;
     }
--- a/endpoint/src/main/java/org/cicadahead/endpoint/EndpointNode.java
+++ b/endpoint/src/main/java/org/cicadahead/endpoint/EndpointNode.java
@@ -19,6 +19,7 @@
 import org.cicadahead.model.EndpointState;
 import org.cicadahead.model.RefusalReason;
 import org.cicadahead.model.RequestDigest;
+import org.cicadahead.node.DaemonThreads;
 import org.cicadahead.node.Node;
 import org.cicadahead.node.NodeException;
 import org.cicadahead.protocol.ClearSuspects;
@@ -160,22 +161,14 @@
                 WORKER_IDLE_SECONDS,
                 TimeUnit.SECONDS,
                 new LinkedBlockingQueue<>(count),
-                task -> {
-                    Thread thread = new Thread(task, "endpoint-worker");
-                    thread.setDaemon(true);
-                    return thread;
-                },
+                DaemonThreads.named("endpoint-worker"),
                 new ThreadPoolExecutor.CallerRunsPolicy());
         workers.allowCoreThreadTimeOut(true);
         return workers;
     }
 
     private static ScheduledThreadPoolExecutor timer() {
-        ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread thread = new Thread(task, "endpoint-timer");
-            thread.setDaemon(true);
-            return thread;
-        });
+        ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, DaemonThreads.named("endpoint-timer"));
         timer.setRemoveOnCancelPolicy(true);
         return timer;
     }
--- a/entry/src/main/java/org/cicadahead/entry/EndpointDirectory.java
+++ b/entry/src/main/java/org/cicadahead/entry/EndpointDirectory.java
@@ -1,6 +1,5 @@
 package org.cicadahead.entry;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -21,6 +20,7 @@
 import org.cicadahead.routing.ChoiceRequest;
 import org.cicadahead.routing.EndpointChooser;
 import org.cicadahead.routing.RetryBudget;
+import org.cicadahead.wire.Addresses;
 import org.cicadahead.wire.PeerClient;
 
 /** The endpoints with their connections. Safe for use by several threads; its monitor is a leaf. */
@@ -96,16 +96,9 @@
 
     /** Returns the connection to an endpoint daemon, or null if its address is not valid. */
     PeerClient peer(String address) {
-        int colon = address.lastIndexOf(':');
-        if (colon <= 0) {
-            return null;
-        }
         try {
-            int port = Integer.parseInt(address.substring(colon + 1));
             return peers.computeIfAbsent(
-                    address,
-                    key -> PeerClient.to(
-                            new InetSocketAddress(key.substring(0, colon), port), MessageCatalog.standard()));
+                    address, key -> PeerClient.to(Addresses.parse(key), MessageCatalog.standard()));
         } catch (IllegalArgumentException e) {
             return null;
         }
--- a/gateway/src/main/java/org/cicadahead/gateway/AdmittedRequest.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/AdmittedRequest.java
@@ -24,6 +24,11 @@
         return organisation == null ? "" : organisation.name();
     }
 
+    /** Returns the program that the request belongs to, or an empty text. */
+    String program() {
+        return caller.line() == null ? "" : caller.line().program();
+    }
+
     long leftMillis(long nowMillis) {
         return deadlineMillis - nowMillis;
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/AnswerRelay.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/AnswerRelay.java
@@ -69,6 +69,11 @@
         return fresh;
     }
 
+    /** Returns the last event that was passed on, by this send or before it; -1 if there was none. */
+    long lastEvent() {
+        return lastEvent;
+    }
+
     AnswerHead head() {
         return head;
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/Attempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/Attempts.java
@@ -1,6 +1,7 @@
 package org.cicadahead.gateway;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
@@ -166,12 +167,7 @@
             patience = null;
         }
         if (placement != null) {
-            scope.trail()
-                    .attempt(
-                            placement.record().id(),
-                            outcome,
-                            sentMillis,
-                            scope.context().nowMillis());
+            record(outcome, scope.context().nowMillis());
             placement.cancelled();
             placement = null;
         }
@@ -181,10 +177,13 @@
         }
     }
 
+    private void record(String outcome, long now) {
+        scope.trail().attempt(placement.record().id(), outcome, sentMillis, now);
+    }
+
     /** Goes on at another endpoint, if that is allowed and useful. */
     private void retry(RetryReason reason) {
-        EndpointDesk.Placement before = placement;
-        before.failed(reason, scope.context().nowMillis());
+        placement.failed(reason, scope.context().nowMillis());
         giveUp(reason.code());
         if (scope.isDone()) {
             turn.settle(tokens);
@@ -212,12 +211,7 @@
         long now = scope.context().nowMillis();
         double millis = (double) (now - sentMillis) / Math.max(1, relay.events());
         placement.succeeded(admitted.route().name(), millis, now);
-        scope.trail()
-                .attempt(
-                        placement.record().id(),
-                        "ok",
-                        sentMillis,
-                        scope.context().nowMillis());
+        record("ok", now);
         placement = null;
         cancellation = null;
         if (!relay.isStream()) {
@@ -262,10 +256,9 @@
                 if (!isCurrent()) {
                     return;
                 }
-                for (StreamEvent event : relay.data(data)) {
-                    if (event.id() >= 0) {
-                        lastEvent = event.id();
-                    }
+                List<StreamEvent> fresh = relay.data(data);
+                lastEvent = relay.lastEvent();
+                for (StreamEvent event : fresh) {
                     tokens += relay.tokens(event);
                     scope.piece(relay.head(), event.bytes());
                 }
--- a/gateway/src/main/java/org/cicadahead/gateway/DecisionLog.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/DecisionLog.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
-import org.cicadahead.watch.DaemonThreads;
+import org.cicadahead.node.DaemonThreads;
 
 /**
  * Writes one line for each decision. Safe for use by several threads.
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointDesk.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointDesk.java
@@ -41,7 +41,7 @@
         if (chosen == null) {
             return null;
         }
-        roster.begin(chosen);
+        chosen.begun();
         return new Placement(chosen, chosen.record());
     }
 
@@ -64,9 +64,9 @@
         void succeeded(String kind, double millis, long nowMillis) {
             synchronized (EndpointDesk.this) {
                 if (end()) {
-                    roster.succeeded(endpoint);
+                    endpoint.succeeded();
                     double mean = means.merge(kind, millis, (before, now) -> before + MEAN_GAIN * (now - before));
-                    roster.paced(endpoint, millis / Math.max(LEAST_MILLIS, mean), nowMillis);
+                    endpoint.paced(millis / Math.max(LEAST_MILLIS, mean), nowMillis);
                 }
             }
         }
@@ -84,10 +84,10 @@
                     return;
                 }
                 switch (reason) {
-                    case REJECTED -> roster.full(endpoint, nowMillis);
+                    case REJECTED -> endpoint.full(nowMillis);
                     case WRONG_INSTANCE -> roster.heard(record.in(EndpointPhase.GONE), nowMillis);
-                    case FAILED -> roster.succeeded(endpoint);
-                    default -> roster.failed(endpoint, nowMillis);
+                    case FAILED -> endpoint.succeeded();
+                    default -> endpoint.failed(nowMillis);
                 }
             }
         }
@@ -97,7 +97,7 @@
                 return false;
             }
             ended = true;
-            roster.end(endpoint);
+            endpoint.ended();
             return true;
         }
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
@@ -12,15 +12,14 @@
 import org.cicadahead.fleet.FleetMessages;
 import org.cicadahead.fleet.FleetRole;
 import org.cicadahead.fleet.FleetUpdate;
+import org.cicadahead.node.DaemonThreads;
 import org.cicadahead.node.Node;
 import org.cicadahead.protocol.MessageCatalog;
 import org.cicadahead.site.CallerLimits;
 import org.cicadahead.site.SiteConfiguration;
 import org.cicadahead.site.SiteIndex;
-import org.cicadahead.watch.Addresses;
-import org.cicadahead.watch.DaemonThreads;
-import org.cicadahead.watch.FleetListener;
 import org.cicadahead.watch.FleetWatch;
+import org.cicadahead.wire.Addresses;
 import org.cicadahead.wire.ControlClient;
 import org.jboss.logging.Logger;
 
@@ -186,7 +185,7 @@
                 config.hubs(),
                 catalog,
                 timer,
-                new HubListener());
+                this::updated);
         timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         LOG.infof("gateway: %s started", config.name());
     }
@@ -212,27 +211,18 @@
         }
     }
 
-    private final class HubListener implements FleetListener {
-
-        @Override
-        public void updated(String hub, FleetUpdate update) {
-            desk.updated(update, nowMillis());
-            if (update.site() != null) {
-                configured(update.site());
-            }
-            if (update.daemons() != null) {
-                timer.execute(this::daemonsChanged);
-            }
+    private void updated(FleetUpdate update) {
+        desk.updated(update, nowMillis());
+        if (update.site() != null) {
+            configured(update.site());
         }
-
-        @Override
-        public void lost(String hub) {
-            LOG.debugf("gateway: The hub at %s is not reached", hub);
+        if (update.daemons() != null) {
+            timer.execute(this::daemonsChanged);
         }
+    }
 
-        private void daemonsChanged() {
-            stores.known(watch.daemons(FleetRole.STORE).keySet());
-            hubs.retarget(watch.hubs().stream().map(Addresses::parse).toList());
-        }
+    private void daemonsChanged() {
+        stores.known(watch.daemons(FleetRole.STORE).keySet());
+        hubs.retarget(watch.hubs().stream().map(Addresses::parse).toList());
     }
 }
--- a/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
@@ -122,10 +122,7 @@
     void configured(SiteConfiguration site) {
         long now = clock.getAsLong();
         synchronized (this) {
-            Map<String, SiteOrganisation> limits = new HashMap<>();
-            if (site.organisations() != null) {
-                site.organisations().forEach(organisation -> limits.put(organisation.name(), organisation));
-            }
+            Map<String, SiteOrganisation> limits = site.organisationsByName();
             organisations.forEach((name, shares) -> {
                 SiteOrganisation limit = limits.get(name);
                 if (limit != null && limit.limited() && shares.rate > 0) {
--- a/gateway/src/main/java/org/cicadahead/gateway/TurnSession.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/TurnSession.java
@@ -41,7 +41,7 @@
         OpenTurn open = new OpenTurn(
                 caller.attempt(),
                 admitted.organisationName(),
-                caller.line() == null ? "" : caller.line().program(),
+                admitted.program(),
                 admitted.hasBudget() ? caller.line().budgetTokens() : -1,
                 caller.maxTokens(),
                 caller.previousTurn(),
@@ -126,13 +126,8 @@
     }
 
     private CloseTurn close(long tokens, byte[] output) {
-        CallerRequest caller = admitted.caller();
         return new CloseTurn(
-                caller.attempt(),
-                admitted.organisationName(),
-                caller.line() == null ? "" : caller.line().program(),
-                tokens,
-                output);
+                admitted.caller().attempt(), admitted.organisationName(), admitted.program(), tokens, output);
     }
 
     private synchronized boolean markClosed() {
--- a/gateway/src/main/java/org/cicadahead/gateway/TurnStores.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/TurnStores.java
@@ -11,7 +11,7 @@
 import org.cicadahead.fleet.TurnOpened;
 import org.cicadahead.protocol.Done;
 import org.cicadahead.protocol.MessageCatalog;
-import org.cicadahead.watch.Addresses;
+import org.cicadahead.wire.Addresses;
 import org.cicadahead.wire.ControlClient;
 import org.cicadahead.wire.WireException;
 import org.jboss.logging.Logger;
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/group/package-info.java
@@ -0,0 +1,2 @@
+/** What the groups of hubs and stores have in common. */
+package org.cicadahead.group;
--- a/gateway/src/main/java/org/cicadahead/hub/HubNode.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubNode.java
@@ -26,19 +26,18 @@
 import org.cicadahead.fleet.SiteStored;
 import org.cicadahead.fleet.StoreMembers;
 import org.cicadahead.fleet.SubmitSite;
+import org.cicadahead.group.RestartedReplica;
+import org.cicadahead.node.DaemonThreads;
 import org.cicadahead.node.Node;
 import org.cicadahead.node.NodeException;
 import org.cicadahead.placement.EndpointRoster;
 import org.cicadahead.protocol.MessageCatalog;
-import org.cicadahead.raft.Timing;
 import org.cicadahead.replication.ReplicatedNode;
 import org.cicadahead.replication.ReplicationConfig;
 import org.cicadahead.replication.ReplicationException;
 import org.cicadahead.site.SiteConfiguration;
-import org.cicadahead.watch.Addresses;
-import org.cicadahead.watch.DaemonThreads;
-import org.cicadahead.watch.FleetListener;
 import org.cicadahead.watch.FleetWatch;
+import org.cicadahead.wire.Addresses;
 import org.cicadahead.wire.ControlClient;
 import org.cicadahead.wire.PeerServer;
 import org.cicadahead.wire.WireException;
@@ -56,6 +55,7 @@
     /** How often reports without a change are passed on, in milliseconds; a fraction of the interval of reports. */
     private static final long ALIVE_MILLIS = 500;
 
+    private static final String LOG_FOLDER = "hub";
     private static final long SEGMENT_BYTES = 4L * 1024 * 1024;
     private static final long SNAPSHOT_BYTES = 8L * 1024 * 1024;
     private static final int WORKERS = 4;
@@ -69,7 +69,8 @@
     private final MessageCatalog catalog = ReplicatedNode.catalog(FleetMessages.catalog(MessageCatalog.standard()));
     private final Watchers watchers;
     private final ControlClient hubs;
-    private volatile ReplicatedNode log;
+    private final HubService service;
+    private final RestartedReplica replica;
     private PeerServer server;
     private FleetWatch watch;
     private ControlClient stores;
@@ -80,6 +81,12 @@
         DaemonPlace self = new DaemonPlace(config.name(), FleetRole.HUB, config.zone(), config.address());
         this.watchers = new Watchers(self, EndpointRoster.create(config.reportIntervalMillis()));
         this.hubs = ControlClient.to(addresses(config.seeds()), catalog);
+        this.service = new HubService(
+                watchers,
+                this::storeMembers,
+                ReplicationConfig.votersFor(config.faultsTolerated()),
+                ReplicatedNode::monotonicMillis);
+        this.replica = RestartedReplica.of("hub", this::startReplica);
     }
 
     /**
@@ -177,13 +184,13 @@
 
     @Override
     public boolean isReady() {
-        return !stopping && log.failure() == null;
+        return !stopping && replica.isRunning();
     }
 
     @Override
     public void shutdown(long timeoutMillis) {
         stopping = true;
-        log.shutdown(timeoutMillis);
+        replica.shutdown(timeoutMillis);
         close();
         LOG.info("hub: Stopped");
     }
@@ -195,53 +202,38 @@
     }
 
     private void begin(MetricRegistry metrics) throws ReplicationException, WireException {
-        HubService service = new HubService(
-                watchers, this::storeMembers, 2 * config.faultsTolerated() + 1, ReplicatedNode::monotonicMillis);
-        startReplica(service, config.bootstrap() && config.seeds().contains(config.address()));
+        replica.start(config.bootstrap() && config.seeds().contains(config.address()));
         server = PeerServer.start(Addresses.parse(config.address()), catalog, workers, service);
         watch = FleetWatch.start(
                 new DaemonPlace(config.name(), FleetRole.HUB, config.zone(), config.address()),
                 config.seeds(),
                 catalog,
                 timer,
-                new Neighbours());
-        timer.scheduleWithFixedDelay(() -> tick(service), ALIVE_MILLIS, ALIVE_MILLIS, TimeUnit.MILLISECONDS);
-        metrics.gauge("hub.term", () -> () -> log.counters().term());
-        metrics.gauge("hub.commit_index", () -> () -> log.counters().commitIndex());
-        LOG.infof("hub: Replica %s started at %s", log.id(), config.address());
+                this::updated);
+        timer.scheduleWithFixedDelay(this::tick, ALIVE_MILLIS, ALIVE_MILLIS, TimeUnit.MILLISECONDS);
+        metrics.gauge("hub.term", () -> () -> replica.node().counters().term());
+        metrics.gauge("hub.commit_index", () -> () -> replica.node().counters().commitIndex());
+        LOG.infof("hub: Replica %s started at %s", replica.node().id(), config.address());
     }
 
-    private void startReplica(HubService service, boolean founds) throws ReplicationException {
+    private ReplicatedNode startReplica(boolean founds) throws ReplicationException {
         SiteStateMachine machine = new SiteStateMachine(watchers::agreed);
-        ReplicationConfig replication = ReplicationConfig.of(
-                        config.dataFolder().resolve("hub"), config.address(), config.seeds(), founds)
-                .withTiming(Timing.withinRegion())
-                .withSizes(SEGMENT_BYTES, SNAPSHOT_BYTES)
-                .withTargetVoters(2 * config.faultsTolerated() + 1);
-        log = ReplicatedNode.start(replication, machine, catalog);
-        service.serve(log, machine);
-    }
-
-    /** Starts a replica again that has stopped because its disk refused a write; it has lost nothing that is synced. */
-    private void revive(HubService service) {
-        ReplicatedNode stopped = log;
-        if (stopping || stopped.failure() == null) {
-            return;
-        }
-        LOG.warnf(
-                "hub: The replica has stopped and is started again: %s",
-                stopped.failure().getMessage());
-        stopped.close();
-        try {
-            startReplica(service, false);
-        } catch (ReplicationException e) {
-            LOG.warnf("hub: The replica cannot start yet: %s", e.getMessage());
-        }
+        ReplicationConfig replication = ReplicationConfig.withinRegion(
+                config.dataFolder().resolve(LOG_FOLDER),
+                config.address(),
+                config.seeds(),
+                founds,
+                SEGMENT_BYTES,
+                SNAPSHOT_BYTES,
+                config.faultsTolerated());
+        ReplicatedNode started = ReplicatedNode.start(replication, machine, catalog);
+        service.serve(started, machine);
+        return started;
     }
 
-    private void tick(HubService service) {
+    private void tick() {
         try {
-            revive(service);
+            replica.restartIfFailed();
             watchers.tellAlive(ReplicatedNode.monotonicMillis());
             service.foundStores();
         } catch (RuntimeException e) {
@@ -277,9 +269,7 @@
         if (server != null) {
             server.close();
         }
-        if (log != null) {
-            log.close();
-        }
+        replica.close();
         if (stores != null) {
             stores.close();
         }
@@ -288,24 +278,15 @@
     }
 
     /** Learns of other hubs, so that the group and the calls to its leader find them. */
-    private final class Neighbours implements FleetListener {
-
-        @Override
-        public void updated(String hub, FleetUpdate update) {
-            if (update.daemons() != null) {
-                Set<String> known = new TreeSet<>(config.seeds());
-                known.add(config.address());
-                update.daemons().stream()
-                        .filter(place -> place.role() == FleetRole.HUB)
-                        .forEach(place -> known.add(place.address()));
-                hubs.retarget(addresses(known));
-                log.surroundings(known, Set.of());
-            }
-        }
-
-        @Override
-        public void lost(String hub) {
-            LOG.debugf("hub: The hub at %s is not reached", hub);
+    private void updated(FleetUpdate update) {
+        if (update.daemons() != null) {
+            Set<String> known = new TreeSet<>(config.seeds());
+            known.add(config.address());
+            update.daemons().stream()
+                    .filter(place -> place.role() == FleetRole.HUB)
+                    .forEach(place -> known.add(place.address()));
+            hubs.retarget(addresses(known));
+            replica.node().surroundings(known, Set.of());
         }
     }
 }
--- a/gateway/src/main/java/org/cicadahead/hub/HubService.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubService.java
@@ -2,9 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
-import java.util.stream.Collectors;
 import org.cicadahead.allotment.AllotmentTable;
 import org.cicadahead.fleet.Allotments;
 import org.cicadahead.fleet.AskAllotments;
@@ -18,7 +16,6 @@
 import org.cicadahead.fleet.SiteDocument;
 import org.cicadahead.fleet.SubmitSite;
 import org.cicadahead.fleet.WatchFleet;
-import org.cicadahead.protocol.Command;
 import org.cicadahead.protocol.Message;
 import org.cicadahead.protocol.NotLeader;
 import org.cicadahead.replication.ReplicatedNode;
@@ -45,6 +42,8 @@
     private volatile SiteStateMachine machine;
     private AllotmentTable allotments;
     private long allotmentTerm = -1;
+    private SiteConfiguration limitsOf;
+    private Map<String, SiteOrganisation> limits = Map.of();
 
     HubService(Watchers watchers, StoreGroup stores, int storesNeeded, LongSupplier clock) {
         this.watchers = watchers;
@@ -115,7 +114,7 @@
             responder.reply(before.stored(before));
             return;
         }
-        propose(submitted, responder);
+        responder.replyWith(log.propose(submitted));
     }
 
     private void read(Responder responder) {
@@ -129,11 +128,6 @@
     }
 
     private void allot(AskAllotments ask, Responder responder) {
-        SiteConfiguration site = machine.state().site();
-        Map<String, SiteOrganisation> limits = site == null || site.organisations() == null
-                ? Map.of()
-                : site.organisations().stream()
-                        .collect(Collectors.toMap(SiteOrganisation::name, organisation -> organisation));
         long now = clock.getAsLong();
         Allotments reply;
         synchronized (allotmentLock) {
@@ -141,11 +135,22 @@
                 allotmentTerm = log.term();
                 allotments = AllotmentTable.create(now);
             }
-            reply = new Allotments(AllotmentTable.LEASE_MILLIS, allotments.ask(ask.entry(), ask.needs(), limits, now));
+            reply = new Allotments(
+                    AllotmentTable.LEASE_MILLIS, allotments.ask(ask.entry(), ask.needs(), limits(), now));
         }
         responder.reply(log.holdsLease(clock.getAsLong()) ? reply : new NotLeader(log.leaderAddress()));
     }
 
+    /** Returns the organisations in force by name; the map is made once for each configuration. */
+    private Map<String, SiteOrganisation> limits() {
+        SiteConfiguration site = machine.state().site();
+        if (site != limitsOf) {
+            limitsOf = site;
+            limits = site == null ? Map.of() : site.organisationsByName();
+        }
+        return limits;
+    }
+
     private void retire(RetireStore request, Responder responder) {
         Map<String, String> retired = machine.state().retired();
         List<DaemonPlace> known = watchers.daemons(FleetRole.STORE);
@@ -165,7 +170,7 @@
             responder.reply(new RetirementState(RetirementState.Phase.TOO_FEW));
         } else {
             LOG.infof("hub: The store %s at %s is to be emptied", store.name(), store.address());
-            propose(new RetireStore(store.name(), store.address()), responder);
+            responder.replyWith(log.propose(new RetireStore(store.name(), store.address())));
         }
     }
 
@@ -186,15 +191,4 @@
             }
         });
     }
-
-    private void propose(Command command, Responder responder) {
-        CompletableFuture<Message> answer = log.propose(command);
-        answer.whenComplete((reply, failure) -> {
-            if (failure == null) {
-                responder.reply(reply);
-            } else {
-                responder.fail(failure.getMessage());
-            }
-        });
-    }
 }
--- a/gateway/src/main/java/org/cicadahead/hub/SiteStateMachine.java
+++ b/gateway/src/main/java/org/cicadahead/hub/SiteStateMachine.java
@@ -50,13 +50,13 @@
 
     @Override
     public StateSnapshot prepareSnapshot() {
-        return new Snapshot(state.image());
+        return new Snapshot(state);
     }
 
     @Override
     public void restore(InputStream in) throws IOException {
         try {
-            replace(SiteState.of(Codec.unpack(in.readAllBytes(), SiteImage.class)));
+            replace(Codec.unpack(in.readAllBytes(), SiteState.class));
         } catch (WireException e) {
             throw new IOException("the snapshot cannot be read", e);
         }
@@ -69,11 +69,11 @@
         }
     }
 
-    private record Snapshot(SiteImage image) implements StateSnapshot {
+    private record Snapshot(SiteState frozen) implements StateSnapshot {
         @Override
         public void write(OutputStream out) throws IOException {
             try {
-                out.write(Codec.pack(image));
+                out.write(Codec.pack(frozen));
             } catch (WireException e) {
                 throw new IOException("the snapshot cannot be written", e);
             }
--- a/gateway/src/main/java/org/cicadahead/hub/Watchers.java
+++ b/gateway/src/main/java/org/cicadahead/hub/Watchers.java
@@ -42,13 +42,14 @@
         synchronized (this) {
             watchers.values().removeIf(other -> other.equals(daemon));
             watchers.put(responder, daemon);
-            responder.part(new FleetUpdate(
-                    daemon.role() == FleetRole.ENTRY ? state.site() : null,
+            FleetUpdate whole = new FleetUpdate(
+                    state.site(),
                     roster.records(),
                     List.of(),
                     daemons(),
                     state.storeFounder(),
-                    List.copyOf(state.retired().values())));
+                    List.copyOf(state.retired().values()));
+            responder.part(daemon.role() == FleetRole.ENTRY ? whole : whole.withoutSite());
             tellDaemons();
         }
         LOG.infof("hub: %s %s watches", daemon.role(), daemon.name());
@@ -59,7 +60,7 @@
     synchronized void report(EndpointRecord report, long nowMillis) {
         if (roster.heard(report, nowMillis)) {
             EndpointRecord merged = roster.find(report.id()).record();
-            tell(new FleetUpdate(null, List.of(merged), null, null, "", null));
+            tell(FleetUpdate.of(merged));
         } else {
             alive.add(report.id());
         }
@@ -68,7 +69,7 @@
     /** Tells which endpoints have reported since the last time. */
     synchronized void tellAlive(long nowMillis) {
         if (!alive.isEmpty()) {
-            tell(new FleetUpdate(null, null, new ArrayList<>(alive), null, "", null));
+            tell(FleetUpdate.ofAlive(alive));
             alive.clear();
         }
         roster.forget(nowMillis);
@@ -118,29 +119,23 @@
     }
 
     private void tellDaemons() {
-        tell(new FleetUpdate(null, null, null, daemons(), "", null));
-    }
-
-    /** Only entries act on the configuration, which is by far the largest part of an update. */
-    private static FleetUpdate withoutSite(FleetUpdate update) {
-        return new FleetUpdate(
-                null, update.endpoints(), update.alive(), update.daemons(), update.storeFounder(), update.retired());
+        tell(FleetUpdate.ofDaemons(daemons()));
     }
 
+    /** Only entries act on the configuration. */
     private void tell(FleetUpdate update) {
-        for (Responder responder : new ArrayList<>(watchers.keySet())) {
+        FleetUpdate rest = update.withoutSite();
+        new LinkedHashMap<>(watchers).forEach((responder, daemon) -> {
             if (!watchers.containsKey(responder)) {
-                continue;
+                return;
             }
             if (responder.queuedBytes() > MAX_QUEUED_BYTES) {
-                LOG.warnf(
-                        "hub: %s reads too slowly and is dropped",
-                        watchers.get(responder).name());
+                LOG.warnf("hub: %s reads too slowly and is dropped", daemon.name());
                 watchers.remove(responder);
                 responder.fail("the watcher reads too slowly");
             } else {
-                responder.part(watchers.get(responder).role() == FleetRole.ENTRY ? update : withoutSite(update));
+                responder.part(daemon.role() == FleetRole.ENTRY ? update : rest);
             }
-        }
+        });
     }
 }
--- a/gateway/src/main/java/org/cicadahead/placement/EndpointChoice.java
+++ b/gateway/src/main/java/org/cicadahead/placement/EndpointChoice.java
@@ -92,13 +92,14 @@
     private static KnownEndpoint home(List<KnownEndpoint> candidates, ChoiceRequest request) {
         KnownEndpoint home = null;
         boolean homeIsLocal = false;
+        long homeRank = 0;
         for (KnownEndpoint each : candidates) {
             boolean local = each.record().zone().equals(request.zone());
-            if (home == null
-                    || local && !homeIsLocal
-                    || local == homeIsLocal && rank(each, request) > rank(home, request)) {
+            long rank = rank(each, request);
+            if (home == null || local && !homeIsLocal || local == homeIsLocal && rank > homeRank) {
                 home = each;
                 homeIsLocal = local;
+                homeRank = rank;
             }
         }
         return home;
--- a/gateway/src/main/java/org/cicadahead/placement/EndpointRoster.java
+++ b/gateway/src/main/java/org/cicadahead/placement/EndpointRoster.java
@@ -135,64 +135,6 @@
         return nowMillis - endpoint.aliveMillis() > silentMillis;
     }
 
-    /**
-     * Counts a request as in flight at an endpoint.
-     *
-     * @param endpoint the endpoint
-     */
-    public void begin(KnownEndpoint endpoint) {
-        endpoint.begun();
-    }
-
-    /**
-     * Counts a request as ended at an endpoint.
-     *
-     * @param endpoint the endpoint
-     */
-    public void end(KnownEndpoint endpoint) {
-        endpoint.ended();
-    }
-
-    /**
-     * Takes note that an endpoint has answered.
-     *
-     * @param endpoint the endpoint
-     */
-    public void succeeded(KnownEndpoint endpoint) {
-        endpoint.succeeded();
-    }
-
-    /**
-     * Takes the time that a request took at an endpoint.
-     *
-     * @param endpoint the endpoint
-     * @param pace the time in parts of the mean of requests of its kind
-     * @param nowMillis monotonic time in milliseconds
-     */
-    public void paced(KnownEndpoint endpoint, double pace, long nowMillis) {
-        endpoint.paced(pace, nowMillis);
-    }
-
-    /**
-     * Takes note that an endpoint did not answer, so that it is left out for a while.
-     *
-     * @param endpoint the endpoint
-     * @param nowMillis monotonic time in milliseconds
-     */
-    public void failed(KnownEndpoint endpoint, long nowMillis) {
-        endpoint.failed(nowMillis);
-    }
-
-    /**
-     * Takes note that an endpoint had no room.
-     *
-     * @param endpoint the endpoint
-     * @param nowMillis monotonic time in milliseconds
-     */
-    public void full(KnownEndpoint endpoint, long nowMillis) {
-        endpoint.full(nowMillis);
-    }
-
     /**
      * Forgets endpoints that have been silent for long and run nothing.
      *
--- a/gateway/src/main/java/org/cicadahead/placement/KnownEndpoint.java
+++ b/gateway/src/main/java/org/cicadahead/placement/KnownEndpoint.java
@@ -2,7 +2,10 @@
 
 import org.cicadahead.fleet.EndpointRecord;
 
-/** An endpoint with what this entry has seen of it. Owned by {@link EndpointRoster}. */
+/**
+ * An endpoint with what this entry has seen of it. Not safe for use by several threads; {@link EndpointRoster} makes it
+ * and keeps its report.
+ */
 public final class KnownEndpoint {
     /** An endpoint that fails is left out for this time at first, in milliseconds; it doubles with each failure. */
     static final long EJECT_MILLIS = 500;
@@ -65,22 +68,31 @@
         return aliveMillis;
     }
 
-    void begun() {
+    /** Counts a request as in flight. */
+    public void begun() {
         inFlight++;
     }
 
-    void ended() {
+    /** Counts a request as ended. */
+    public void ended() {
         inFlight--;
     }
 
-    void succeeded() {
+    /** Takes note that the endpoint has answered. */
+    public void succeeded() {
         failures = 0;
         ejectedUntilMillis = Long.MIN_VALUE;
     }
 
-    /** Takes the time that a request took, in parts of the mean of its kind. */
-    void paced(double sample, long nowMillis) {
-        pace = pace(nowMillis) + PACE_GAIN * (Math.min(MAX_PACE, sample) - pace(nowMillis));
+    /**
+     * Takes the time that a request took.
+     *
+     * @param sample the time in parts of the mean of requests of its kind
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void paced(double sample, long nowMillis) {
+        double before = pace(nowMillis);
+        pace = before + PACE_GAIN * (Math.min(MAX_PACE, sample) - before);
         pacedMillis = nowMillis;
     }
 
@@ -89,13 +101,23 @@
         return 1 + (pace - 1) * Math.exp(-Math.max(0, nowMillis - pacedMillis) / PACE_MEMORY_MILLIS);
     }
 
-    void failed(long nowMillis) {
+    /**
+     * Takes note that the endpoint did not answer, so that it is left out for a while.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void failed(long nowMillis) {
         long out = Math.min(MAX_EJECT_MILLIS, EJECT_MILLIS << Math.min(failures, MAX_DOUBLINGS));
         failures++;
         ejectedUntilMillis = nowMillis + out;
     }
 
-    void full(long nowMillis) {
+    /**
+     * Takes note that the endpoint had no room.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void full(long nowMillis) {
         fullUntilMillis = nowMillis + FULL_MILLIS;
     }
 
--- a/gateway/src/main/java/org/cicadahead/store/StoreNode.java
+++ b/gateway/src/main/java/org/cicadahead/store/StoreNode.java
@@ -15,17 +15,16 @@
 import org.cicadahead.fleet.FleetMessages;
 import org.cicadahead.fleet.FleetRole;
 import org.cicadahead.fleet.FleetUpdate;
+import org.cicadahead.group.RestartedReplica;
+import org.cicadahead.node.DaemonThreads;
 import org.cicadahead.node.Node;
 import org.cicadahead.node.NodeException;
 import org.cicadahead.protocol.MessageCatalog;
-import org.cicadahead.raft.Timing;
 import org.cicadahead.replication.ReplicatedNode;
 import org.cicadahead.replication.ReplicationConfig;
 import org.cicadahead.replication.ReplicationException;
-import org.cicadahead.watch.Addresses;
-import org.cicadahead.watch.DaemonThreads;
-import org.cicadahead.watch.FleetListener;
 import org.cicadahead.watch.FleetWatch;
+import org.cicadahead.wire.Addresses;
 import org.cicadahead.wire.PeerServer;
 import org.cicadahead.wire.WireException;
 import org.jboss.logging.Logger;
@@ -41,7 +40,7 @@
     private static final long SEGMENT_BYTES = 8L * 1024 * 1024;
     private static final long SNAPSHOT_BYTES = 24L * 1024 * 1024;
     /** How often a stopped replica is tried again, in milliseconds. */
-    private static final long REVIVE_MILLIS = 500;
+    private static final long RESTART_MILLIS = 500;
 
     private static final int WORKERS = 4;
 
@@ -54,9 +53,9 @@
     private final MessageCatalog catalog = ReplicatedNode.catalog(FleetMessages.catalog(MessageCatalog.standard()));
     private final StoreService service = new StoreService();
     private final Set<String> known = new TreeSet<>();
+    private final RestartedReplica replica = RestartedReplica.of("store", this::startReplica);
     private Set<String> retired = Set.of();
     private volatile TurnStateMachine machine = new TurnStateMachine();
-    private ReplicatedNode log;
     private PeerServer server;
     private FleetWatch watch;
     private volatile boolean stopping;
@@ -98,20 +97,14 @@
     }
 
     @Override
-    public synchronized boolean isReady() {
-        return !stopping && log != null && log.failure() == null;
+    public boolean isReady() {
+        return !stopping && replica.isRunning();
     }
 
     @Override
     public void shutdown(long timeoutMillis) {
         stopping = true;
-        ReplicatedNode started;
-        synchronized (this) {
-            started = log;
-        }
-        if (started != null) {
-            started.shutdown(timeoutMillis);
-        }
+        replica.shutdown(timeoutMillis);
         close();
         LOG.info("store: Stopped");
     }
@@ -120,55 +113,36 @@
         server = PeerServer.start(Addresses.parse(config.address()), catalog, workers, service);
         Path folder = config.dataFolder().resolve(LOG_FOLDER);
         if (Files.isDirectory(folder)) {
-            join(Set.of(), false);
+            replica.start(false);
         }
         watch = FleetWatch.start(
                 new DaemonPlace(config.name(), FleetRole.STORE, config.zone(), config.address()),
                 config.hubs(),
                 catalog,
                 timer,
-                new HubListener());
+                this::updated);
         metrics.gauge("store.turns", () -> () -> machine.turns());
         metrics.gauge("store.budgets", () -> () -> machine.budgets());
-        timer.scheduleWithFixedDelay(this::revive, REVIVE_MILLIS, REVIVE_MILLIS, TimeUnit.MILLISECONDS);
+        timer.scheduleWithFixedDelay(replica::restartIfFailed, RESTART_MILLIS, RESTART_MILLIS, TimeUnit.MILLISECONDS);
         LOG.infof("store: %s started at %s", config.name(), config.address());
     }
 
-    private synchronized void join(Set<String> contacts, boolean founds) throws ReplicationException {
-        Set<String> members = new TreeSet<>(contacts);
-        if (founds) {
-            members = Set.of(config.address());
-        }
-        ReplicationConfig replication = ReplicationConfig.of(
-                        config.dataFolder().resolve(LOG_FOLDER),
-                        config.address(),
-                        members.stream().toList(),
-                        founds)
-                .withTiming(Timing.withinRegion())
-                .withSizes(SEGMENT_BYTES, SNAPSHOT_BYTES)
-                .withTargetVoters(2 * config.faultsTolerated() + 1);
+    private synchronized ReplicatedNode startReplica(boolean founds) throws ReplicationException {
+        ReplicationConfig replication = ReplicationConfig.withinRegion(
+                config.dataFolder().resolve(LOG_FOLDER),
+                config.address(),
+                founds ? List.of(config.address()) : List.copyOf(known),
+                founds,
+                SEGMENT_BYTES,
+                SNAPSHOT_BYTES,
+                config.faultsTolerated());
         TurnStateMachine fresh = new TurnStateMachine();
-        log = ReplicatedNode.start(replication, fresh, catalog);
+        ReplicatedNode started = ReplicatedNode.start(replication, fresh, catalog);
         machine = fresh;
-        service.serve(log, fresh);
-        LOG.infof("store: Replica %s %s", log.id(), founds ? "founds the group" : "takes part in the group");
-    }
-
-    /** Starts a replica again that has stopped because its disk refused a write; it has lost nothing that is synced. */
-    private synchronized void revive() {
-        if (stopping || log == null || log.failure() == null) {
-            return;
-        }
-        LOG.warnf(
-                "store: The replica has stopped and is started again: %s",
-                log.failure().getMessage());
-        log.close();
-        try {
-            join(known, false);
-            log.surroundings(known, retired);
-        } catch (ReplicationException e) {
-            LOG.warnf("store: The replica cannot start yet: %s", e.getMessage());
-        }
+        service.serve(started, fresh);
+        started.surroundings(known, retired);
+        LOG.infof("store: Replica %s %s", started.id(), founds ? "founds the group" : "takes part in the group");
+        return started;
     }
 
     private synchronized void updated(FleetUpdate update) {
@@ -183,18 +157,19 @@
         if (update.retired() != null) {
             retired = Set.copyOf(update.retired());
         }
+        if (replica.node() != null) {
+            replica.node().surroundings(known, retired);
+        } else if (!update.storeFounder().isEmpty()) {
+            known.add(update.storeFounder());
+            join(config.bootstrap() && update.storeFounder().equals(config.address()));
+        }
+    }
+
+    private void join(boolean founds) {
         try {
-            if (log == null && !update.storeFounder().isEmpty()) {
-                known.add(update.storeFounder());
-                boolean founds = config.bootstrap() && update.storeFounder().equals(config.address());
-                join(known, founds);
-            }
+            replica.start(founds);
         } catch (ReplicationException e) {
             LOG.errorf(e, "store: Cannot take part in the group: %s", e.getMessage());
-            return;
-        }
-        if (log != null) {
-            log.surroundings(known, retired);
         }
     }
 
@@ -206,22 +181,7 @@
         if (server != null) {
             server.close();
         }
-        if (log != null) {
-            log.close();
-        }
+        replica.close();
         workers.shutdownNow();
     }
-
-    private final class HubListener implements FleetListener {
-
-        @Override
-        public void updated(String hub, FleetUpdate update) {
-            StoreNode.this.updated(update);
-        }
-
-        @Override
-        public void lost(String hub) {
-            LOG.debugf("store: The hub at %s is not reached", hub);
-        }
-    }
 }
--- a/gateway/src/main/java/org/cicadahead/store/StoreService.java
+++ b/gateway/src/main/java/org/cicadahead/store/StoreService.java
@@ -7,7 +7,6 @@
 import org.cicadahead.fleet.ReadStoreMembers;
 import org.cicadahead.fleet.StoreMembers;
 import org.cicadahead.fleet.TurnOpened;
-import org.cicadahead.protocol.Command;
 import org.cicadahead.protocol.Message;
 import org.cicadahead.protocol.NotLeader;
 import org.cicadahead.replication.MemberStatus;
@@ -42,8 +41,8 @@
             responder.reply(new NotLeader(current.leaderAddress()));
         } else if (request instanceof OpenTurn open) {
             open(serving, open, responder);
-        } else if (request instanceof CloseTurn) {
-            propose(current, (CloseTurn) request, responder);
+        } else if (request instanceof CloseTurn close) {
+            responder.replyWith(current.propose(close));
         } else if (request instanceof ReadStoreMembers) {
             members(current, responder);
         } else {
@@ -52,28 +51,13 @@
     }
 
     private static void open(Replica serving, OpenTurn request, Responder responder) {
-        serving.log.propose(request).whenComplete((reply, failure) -> {
-            if (failure != null) {
-                responder.fail(failure.getMessage());
-                return;
-            }
+        responder.replyWith(serving.log.propose(request).thenApply(reply -> {
             TurnOpened opened = (TurnOpened) reply;
             boolean wanted = opened.verdict() == TurnOpened.Verdict.OPEN
                     && !request.previous().isEmpty()
                     && !request.knowsPrevious();
-            responder.reply(
-                    wanted ? new TurnOpened(opened.verdict(), serving.machine.history(request.previous())) : opened);
-        });
-    }
-
-    private static void propose(ReplicatedNode current, Command command, Responder responder) {
-        current.propose(command).whenComplete((reply, failure) -> {
-            if (failure == null) {
-                responder.reply(reply);
-            } else {
-                responder.fail(failure.getMessage());
-            }
-        });
+            return wanted ? new TurnOpened(opened.verdict(), serving.machine.history(request.previous())) : opened;
+        }));
     }
 
     /** Answers under the lease only, as a leader that was replaced does not know of later changes. */
--- a/gateway/src/main/java/org/cicadahead/watch/FleetWatch.java
+++ b/gateway/src/main/java/org/cicadahead/watch/FleetWatch.java
@@ -11,13 +11,14 @@
 import java.util.TreeSet;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.cicadahead.fleet.DaemonPlace;
 import org.cicadahead.fleet.FleetRole;
 import org.cicadahead.fleet.FleetUpdate;
 import org.cicadahead.fleet.WatchFleet;
 import org.cicadahead.protocol.Message;
 import org.cicadahead.protocol.MessageCatalog;
-import org.cicadahead.wire.PeerCall;
+import org.cicadahead.wire.Addresses;
 import org.cicadahead.wire.PeerClient;
 import org.cicadahead.wire.StreamListener;
 import org.cicadahead.wire.WireException;
@@ -36,11 +37,11 @@
     private static final Logger LOG = Logger.getLogger("cicadahead.watch");
 
     private final DaemonPlace self;
-    private Set<String> seeds;
     private final MessageCatalog catalog;
     private final ScheduledExecutorService timer;
-    private final FleetListener listener;
+    private final Consumer<FleetUpdate> listener;
     private final Map<String, HubLink> links = new HashMap<>();
+    private Set<String> seeds;
     private boolean closed;
 
     private FleetWatch(
@@ -48,7 +49,7 @@
             Collection<String> seeds,
             MessageCatalog catalog,
             ScheduledExecutorService timer,
-            FleetListener listener) {
+            Consumer<FleetUpdate> listener) {
         this.self = Objects.requireNonNull(self, "The daemon must not be null");
         this.seeds = new TreeSet<>(seeds);
         this.catalog = catalog;
@@ -63,7 +64,8 @@
      * @param seeds addresses of hubs
      * @param catalog the message types
      * @param timer runs repeated attempts
-     * @param listener is told what the hubs say
+     * @param listener is told what the hubs say, by the reader threads of connections; the first update of a connection
+     *     is complete; it must not block
      * @return the watch
      */
     public static FleetWatch start(
@@ -71,7 +73,7 @@
             Collection<String> seeds,
             MessageCatalog catalog,
             ScheduledExecutorService timer,
-            FleetListener listener) {
+            Consumer<FleetUpdate> listener) {
         FleetWatch watch = new FleetWatch(self, seeds, catalog, timer, listener);
         watch.relink();
         return watch;
@@ -158,7 +160,6 @@
         private final PeerClient client;
         private List<DaemonPlace> daemons = List.of();
         private boolean told;
-        private PeerCall call;
 
         HubLink(String address) {
             this.address = address;
@@ -166,7 +167,7 @@
         }
 
         void connect() {
-            call = client.stream(new WatchFleet(self), this);
+            client.stream(new WatchFleet(self), this);
         }
 
         @Override
@@ -187,7 +188,7 @@
                     timer.execute(FleetWatch.this::relink);
                 }
             }
-            listener.updated(address, update);
+            listener.accept(update);
         }
 
         @Override
@@ -212,7 +213,6 @@
             }
             if (before) {
                 LOG.warnf("watch: Lost the hub at %s: %s", address, reason);
-                listener.lost(address);
             }
             timer.schedule(this::reconnect, RETRY_MILLIS, TimeUnit.MILLISECONDS);
         }
--- a/gateway/src/test/java/org/cicadahead/gateway/FakeEndpoints.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/FakeEndpoints.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 
 /** Endpoints whose answers a test gives. */
 final class FakeEndpoints implements EndpointClient {
@@ -12,6 +13,7 @@
     static final class Sent {
         final EndpointRequest request;
         final EndpointListener listener;
+        final CountDownLatch ended = new CountDownLatch(1);
         boolean cancelled;
 
         Sent(EndpointRequest request, EndpointListener listener) {
@@ -46,7 +48,10 @@
     public Runnable send(EndpointRequest request, EndpointListener listener) {
         Sent each = new Sent(request, listener);
         sent.add(each);
-        return () -> each.cancelled = true;
+        return () -> {
+            each.cancelled = true;
+            each.ended.countDown();
+        };
     }
 
     Sent last() {
--- a/gateway/src/test/java/org/cicadahead/gateway/FakeExchange.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/FakeExchange.java
@@ -1,10 +1,12 @@
 package org.cicadahead.gateway;
 
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 
 /** A caller that records what it gets. */
 final class FakeExchange implements CallerExchange {
     final StringBuilder body = new StringBuilder();
+    final CountDownLatch refused = new CountDownLatch(1);
     int status;
     GatewayRefusal refusal;
     boolean ended;
@@ -36,6 +38,7 @@
     @Override
     public void refuse(GatewayRefusal given) {
         refusal = given;
+        refused.countDown();
     }
 
     @Override
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import org.cicadahead.fleet.EndpointPhase;
 import org.cicadahead.fleet.EndpointRecord;
 import org.cicadahead.fleet.FleetMessages;
@@ -95,23 +96,7 @@
     }
 
     private void send(String path, String key, long timeLeftMillis) {
-        CallerRequest request = new CallerRequest(
-                "attempt",
-                "POST",
-                path,
-                path,
-                "h",
-                List.of(),
-                new byte[0],
-                key,
-                timeLeftMillis,
-                null,
-                "",
-                List.of(),
-                0,
-                -1,
-                GatewayNode.nowMillis());
-        RequestFlow.serve(context, request, caller);
+        RequestFlow.serve(context, request("attempt", "POST", path, key, timeLeftMillis), caller);
     }
 
     private void send(String path) {
@@ -276,9 +261,8 @@
     @Test
     void aRequestEndsWithItsTime() throws InterruptedException {
         send("/once/x", "k", 60);
-        for (int i = 0; i < 100 && caller.refusal == null; i++) {
-            Thread.sleep(10);
-        }
+        assertThat(caller.refused.await(1, TimeUnit.SECONDS)).isTrue();
+        assertThat(endpoints.last().ended.await(1, TimeUnit.SECONDS)).isTrue();
         assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.DEADLINE_EXCEEDED);
         assertThat(endpoints.last().cancelled).isTrue();
     }
@@ -313,16 +297,20 @@
     }
 
     private static CallerRequest safe(String attempt) {
+        return request(attempt, "GET", "/safe/", "k", 1_000);
+    }
+
+    private static CallerRequest request(String attempt, String method, String path, String key, long timeLeftMillis) {
         return new CallerRequest(
                 attempt,
-                "GET",
-                "/safe/",
-                "/safe/",
+                method,
+                path,
+                path,
                 "h",
                 List.of(),
                 new byte[0],
-                "k",
-                1_000,
+                key,
+                timeLeftMillis,
                 null,
                 "",
                 List.of(),
--- a/gateway/src/test/java/org/cicadahead/placement/EndpointRosterTest.java
+++ b/gateway/src/test/java/org/cicadahead/placement/EndpointRosterTest.java
@@ -88,7 +88,7 @@
     void aFailureLeavesAnEndpointOutForAWhile() {
         roster.heard(ready("a", 1), 0);
         roster.heard(ready("b", 1), 0);
-        roster.failed(roster.find("a"), 100);
+        roster.find("a").failed(100);
         for (int i = 0; i < 20; i++) {
             assertThat(choose("session" + i, Set.of(), 150)).isEqualTo("b");
         }
@@ -107,8 +107,8 @@
         }
         String home = choose("session", Set.of(), 10);
         assertThat(choose("session", Set.of(), 10)).isEqualTo(home);
-        roster.begin(roster.find(home));
-        roster.begin(roster.find(home));
+        roster.find(home).begun();
+        roster.find(home).begun();
         assertThat(choose("session", Set.of(), 10)).isNotEqualTo(home);
     }
 
@@ -121,7 +121,7 @@
             assertThat(choose("session" + i, Set.of(), 10)).isEqualTo("near");
         }
         for (int i = 0; i < 4; i++) {
-            roster.begin(roster.find("near"));
+            roster.find("near").begun();
         }
         assertThat(choose("session", Set.of(), 10)).isEqualTo("far");
     }
@@ -132,8 +132,8 @@
         roster.heard(ready("slow", 1), 0);
         roster.heard(ready("fast", 1), 0);
         for (int i = 0; i < 10; i++) {
-            roster.paced(roster.find("slow"), 5, 100);
-            roster.paced(roster.find("fast"), 0.9, 100);
+            roster.find("slow").paced(5, 100);
+            roster.find("fast").paced(0.9, 100);
         }
         for (int i = 0; i < 20; i++) {
             assertThat(choose("session" + i, Set.of(), 110)).isEqualTo("fast");
--- a/raft/src/main/java/org/cicadahead/replication/ReplicationConfig.java
+++ b/raft/src/main/java/org/cicadahead/replication/ReplicationConfig.java
@@ -88,67 +88,50 @@
     }
 
     /**
-     * Returns these settings with snapshots taken after other sizes of the log.
+     * Returns settings for a group within one region that keeps up the number of its voters by itself.
      *
-     * @param newSegmentBytes the size at which a new log file is begun, in bytes
-     * @param bytes the bytes of applied entries after which a snapshot is taken
+     * @param folder the data folder
+     * @param address host and port of this replica's peer server
+     * @param contacts the addresses of the initial members, or where replicas of the group may be found
+     * @param bootstrap whether the initial members found the group if none exists
+     * @param segmentBytes the size at which a new log file is begun, in bytes
+     * @param snapshotBytes the bytes of applied entries after which a snapshot is taken
+     * @param faultsTolerated how many replicas may be lost at once; the group keeps twice as many voters and one
      * @return the settings
+     * @throws IllegalArgumentException if the number of faults is negative
      */
-    public ReplicationConfig withSizes(long newSegmentBytes, long bytes) {
+    public static ReplicationConfig withinRegion(
+            Path folder,
+            String address,
+            List<String> contacts,
+            boolean bootstrap,
+            long segmentBytes,
+            long snapshotBytes,
+            int faultsTolerated) {
         return new ReplicationConfig(
                 folder,
                 address,
-                members,
+                contacts,
                 bootstrap,
-                timing,
-                newSegmentBytes,
-                snapshotEntries,
-                bytes,
-                keepEntries,
-                targetVoters);
-    }
-
-    /**
-     * Returns these settings for a group that keeps up the number of its voters by itself.
-     *
-     * @param voters the number of voters to keep up
-     * @return the settings
-     * @throws IllegalArgumentException if the number is not positive
-     */
-    public ReplicationConfig withTargetVoters(int voters) {
-        if (voters <= 0) {
-            throw new IllegalArgumentException("The voters must be positive: " + voters);
-        }
-        return new ReplicationConfig(
-                folder,
-                address,
-                members,
-                bootstrap,
-                timing,
+                Timing.withinRegion(),
                 segmentBytes,
-                snapshotEntries,
+                SNAPSHOT_ENTRIES,
                 snapshotBytes,
-                keepEntries,
-                voters);
+                KEEP_ENTRIES,
+                votersFor(faultsTolerated));
     }
 
     /**
-     * Returns these settings with other times of consensus.
+     * Returns how many voters a group needs to lose some and still have a majority.
      *
-     * @param times the times
-     * @return the settings
+     * @param faultsTolerated how many may be lost at once
+     * @return the number of voters
+     * @throws IllegalArgumentException if the number of faults is negative
      */
-    public ReplicationConfig withTiming(Timing times) {
-        return new ReplicationConfig(
-                folder,
-                address,
-                members,
-                bootstrap,
-                times,
-                segmentBytes,
-                snapshotEntries,
-                snapshotBytes,
-                keepEntries,
-                targetVoters);
+    public static int votersFor(int faultsTolerated) {
+        if (faultsTolerated < 0) {
+            throw new IllegalArgumentException("The faults must not be negative: " + faultsTolerated);
+        }
+        return 2 * faultsTolerated + 1;
     }
 }
--- a/raft/src/main/java/org/cicadahead/replication/Snapshotter.java
+++ b/raft/src/main/java/org/cicadahead/replication/Snapshotter.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.cicadahead.node.DaemonThreads;
 import org.cicadahead.raft.Output;
 import org.cicadahead.raft.RaftSnapshot;
 import org.cicadahead.raft.ReplicaId;
@@ -22,11 +23,7 @@
     private final ReplicaId self;
     private final SnapshotStore store;
     private final Transport transport;
-    private final ExecutorService executor = Executors.newSingleThreadExecutor(task -> {
-        Thread thread = new Thread(task, "raft-snapshot");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ExecutorService executor = Executors.newSingleThreadExecutor(DaemonThreads.named("raft-snapshot"));
 
     Snapshotter(ReplicaId self, SnapshotStore store, Transport transport) {
         this.self = self;
--- a/raft/src/main/java/org/cicadahead/replication/Transport.java
+++ b/raft/src/main/java/org/cicadahead/replication/Transport.java
@@ -1,7 +1,6 @@
 package org.cicadahead.replication;
 
 import java.io.Closeable;
-import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -11,6 +10,7 @@
 import org.cicadahead.raft.Membership;
 import org.cicadahead.raft.RaftMessage;
 import org.cicadahead.raft.ReplicaId;
+import org.cicadahead.wire.Addresses;
 import org.cicadahead.wire.PeerClient;
 import org.cicadahead.wire.WireException;
 import org.jboss.logging.Logger;
@@ -85,14 +85,6 @@
     }
 
     private PeerClient client(String address) {
-        return clients.computeIfAbsent(address, a -> PeerClient.to(parse(a), catalog));
-    }
-
-    private static InetSocketAddress parse(String address) {
-        int colon = address.lastIndexOf(':');
-        if (colon <= 0) {
-            throw new IllegalArgumentException("The address must be host:port: " + address);
-        }
-        return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        return clients.computeIfAbsent(address, a -> PeerClient.to(Addresses.parse(a), catalog));
     }
 }
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCaller.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCaller.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.BooleanSupplier;
+import org.cicadahead.platform.WireNames;
 
 /** A caller that runs programs one after another: a chain of kept turns with a call that may run once in between. */
 final class SoakCaller implements Runnable {
@@ -76,10 +77,10 @@
 
     private SoakHttp.Answer turn(String program, String attempt, String previous, String input) {
         Map<String, String> headers = headers(program, attempt);
-        headers.put("X-Token-Budget", "100000");
-        headers.put("X-Token-Count", "10,100");
+        headers.put(WireNames.BUDGET, "100000");
+        headers.put(WireNames.TOKENS, "10,100");
         if (!previous.isEmpty()) {
-            headers.put("X-Previous-Turn", previous);
+            headers.put(WireNames.PREVIOUS, previous);
         }
         return http.call("POST", entry(), "/turns/x", headers, input);
     }
@@ -97,11 +98,11 @@
     private Map<String, String> headers(String program, String attempt) {
         judge.asked();
         Map<String, String> headers = new HashMap<>();
-        headers.put("X-Attempt-Id", attempt);
-        headers.put("X-Key", "soak-key");
-        headers.put("X-Deadline-Ms", "3000");
-        headers.put("X-Program-Id", program);
-        headers.put("X-Session-Id", program);
+        headers.put(WireNames.ATTEMPT, attempt);
+        headers.put(WireNames.KEY, "soak-key");
+        headers.put(WireNames.TIME_LEFT, "3000");
+        headers.put(WireNames.PROGRAM, program);
+        headers.put(WireNames.SESSION, program);
         return headers;
     }
 
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakEndpoint.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakEndpoint.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.zip.CRC32C;
+import org.cicadahead.platform.WireNames;
 import org.cicadahead.testbed.fleet.FaultyLink;
 import org.cicadahead.testbed.fleet.FleetException;
 import org.cicadahead.testbed.fleet.Ports;
@@ -93,22 +94,22 @@
 
         @Override
         public boolean handle(Request request, Response response, Callback callback) throws IOException {
-            String attempt = request.getHeaders().get("X-Attempt-Id");
-            response.getHeaders().put("X-Attempt-Id", attempt);
-            if (!id.equals(request.getHeaders().get("X-Expect-Instance"))) {
+            String attempt = request.getHeaders().get(WireNames.ATTEMPT);
+            response.getHeaders().put(WireNames.ATTEMPT, attempt);
+            if (!id.equals(request.getHeaders().get(WireNames.INSTANCE))) {
                 response.setStatus(MISDIRECTED);
-                response.getHeaders().put("X-Not-Executed", "1");
+                response.getHeaders().put(WireNames.NOT_RUN, "1");
                 callback.succeeded();
                 return true;
             }
             ByteArrayOutputStream body = new ByteArrayOutputStream();
             Content.Source.asInputStream(request).transferTo(body);
             judge.ran(attempt);
-            if (request.getHeaders().get("X-Key") != null) {
+            if (request.getHeaders().get(WireNames.KEY) != null) {
                 judge.violation("an endpoint saw a key: " + attempt);
             }
             response.setStatus(OK);
-            response.getHeaders().put("X-Response-Seal", "seal-" + attempt);
+            response.getHeaders().put(WireNames.RECEIPT, "seal-" + attempt);
             response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
             String[] data = events(body.toByteArray(), attempt).split("\n");
             String text = "id: 1\ndata: " + data[0] + "\n\nid: 2\ndata: " + data[1] + "\n\n";
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakHttp.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakHttp.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.cicadahead.platform.WireNames;
 import org.cicadahead.testbed.fleet.FleetException;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.ContentResponse;
@@ -51,7 +52,7 @@
             return new Answer(
                     answer.getStatus(),
                     answer.getContentAsString(),
-                    answer.getHeaders().contains("X-Response-Seal"));
+                    answer.getHeaders().contains(WireNames.RECEIPT));
         } catch (ExecutionException | TimeoutException e) {
             return new Answer(0, String.valueOf(e.getMessage()), false);
         } catch (InterruptedException e) {
