--- a/core/src/main/java/org/cicadahead/fleet/RetirementState.java
+++ b/core/src/main/java/org/cicadahead/fleet/DecommissionState.java
@@ -3,13 +3,13 @@
 import org.cicadahead.protocol.Message;
 
 /**
- * How far the retirement of a store is.
+ * How far the decommissioning of a store is.
  *
  * @param phase the phase
  */
-public record RetirementState(Phase phase) implements Message {
+public record DecommissionState(Phase phase) implements Message {
 
-    /** The phases of a retirement. */
+    /** The phases of a decommissioning. */
     public enum Phase {
         /** The store is not known. */
         UNKNOWN,
--- a/core/src/main/java/org/cicadahead/fleet/EndpointRecord.java
+++ b/core/src/main/java/org/cicadahead/fleet/EndpointRecord.java
@@ -7,7 +7,7 @@
  *
  * @param id the id of the incarnation
  * @param bornMillis when it started, in milliseconds since the epoch; 0 if it does not say
- * @param sequence increases with each report of an incarnation
+ * @param sequence increases with each heartbeat of an incarnation
  * @param service the service that it belongs to
  * @param address host and port; empty if a departure came without one
  * @param zone its availability zone
--- a/core/src/main/java/org/cicadahead/fleet/FleetMessages.java
+++ b/core/src/main/java/org/cicadahead/fleet/FleetMessages.java
@@ -16,17 +16,17 @@
      */
     public static MessageCatalog catalog(MessageCatalog base) {
         return base.with(List.of(
-                Allotments.class,
-                AskAllotments.class,
+                QuotaShares.class,
+                RequestQuota.class,
                 CloseTurn.class,
                 FleetUpdate.class,
                 FoundStores.class,
                 OpenTurn.class,
-                ReadRetirement.class,
+                ReadDecommission.class,
                 ReadSite.class,
                 ReadStoreMembers.class,
-                RetireStore.class,
-                RetirementState.class,
+                DecommissionStore.class,
+                DecommissionState.class,
                 SiteDocument.class,
                 SiteStored.class,
                 StoreMembers.class,
--- a/core/src/main/java/org/cicadahead/fleet/FleetUpdate.java
+++ b/core/src/main/java/org/cicadahead/fleet/FleetUpdate.java
@@ -10,10 +10,10 @@
  *
  * @param site the configuration, or null
  * @param endpoints endpoints that are new or changed
- * @param alive the ids of endpoints that have reported to this hub since the last update, without a change
+ * @param alive the ids of endpoints that have sent a heartbeat to this hub since the last update, without a change
  * @param daemons all daemons that watch this hub, and the hub itself; null if unchanged
  * @param storeFounder the address of the store that founds the group of stores; empty if not decided yet
- * @param retired the addresses of stores that are to be emptied; null if unchanged
+ * @param decommissioned the addresses of stores that are being decommissioned; null if unchanged
  */
 public record FleetUpdate(
         SiteConfiguration site,
@@ -21,7 +21,7 @@
         List<String> alive,
         List<DaemonPlace> daemons,
         String storeFounder,
-        List<String> retired)
+        List<String> decommissioned)
         implements Message {
 
     /** Replaces missing lists of endpoints by empty ones. */
@@ -41,7 +41,7 @@
     }
 
     /**
-     * Returns an update of endpoints that have reported without a change.
+     * Returns an update of endpoints that have sent a heartbeat without a change.
      *
      * @param ids their ids
      * @return the update
@@ -66,6 +66,6 @@
      * @return the update
      */
     public FleetUpdate withoutSite() {
-        return site == null ? this : new FleetUpdate(null, endpoints, alive, daemons, storeFounder, retired);
+        return site == null ? this : new FleetUpdate(null, endpoints, alive, daemons, storeFounder, decommissioned);
     }
 }
--- a/core/src/main/java/org/cicadahead/fleet/Standing.java
+++ b/core/src/main/java/org/cicadahead/fleet/PriorityClass.java
@@ -6,19 +6,19 @@
  * <p>Answers a load beyond an organisation's rate: what is left goes first to programs that are under way, so that some
  * programs finish instead of all being broken off.
  */
-public enum Standing {
+public enum PriorityClass {
     /** A call whose refusal ends its program, or a request of no program. */
     CALL(0),
     /** A turn of a program that is under way. */
-    UNDER_WAY(0.08),
+    RUNNING(0.08),
     /** The first turn of a program. */
-    BEGINNING(0.25),
+    NEW(0.25),
     /** A turn of a program that sends far more requests than programs do. */
     EXCESSIVE(0.5);
 
     private final double floor;
 
-    Standing(double floor) {
+    PriorityClass(double floor) {
         this.floor = floor;
     }
 
--- a/core/src/main/java/org/cicadahead/fleet/AllotmentNeed.java
+++ b/core/src/main/java/org/cicadahead/fleet/QuotaNeed.java
@@ -10,18 +10,18 @@
  * @param heldRate the share of the rate that it holds, per second; 0 if its lease has ended
  * @param heldBurst the share of the burst that it holds
  * @param spilled the requests that its shares allowed and that it did not need, since it started
- * @param urgent how many requests wait for want of a share, by their standing
+ * @param urgent how many requests wait for want of a share, by their priority class
  */
-public record AllotmentNeed(
+public record QuotaNeed(
         String organisation,
         double demandPerSecond,
         double heldRate,
         double heldBurst,
         double spilled,
-        Map<Standing, Integer> urgent) {
+        Map<PriorityClass, Integer> urgent) {
 
     /** Copies the map. */
-    public AllotmentNeed {
+    public QuotaNeed {
         urgent = urgent == null ? Map.of() : Map.copyOf(urgent);
     }
 }
--- a/core/src/main/java/org/cicadahead/fleet/Allotment.java
+++ b/core/src/main/java/org/cicadahead/fleet/QuotaShare.java
@@ -9,4 +9,4 @@
  * @param tokens requests that go with a larger share of the burst, so that it need not fill first
  * @param extra requests that may be admitted once on top, within a second
  */
-public record Allotment(String organisation, double rate, double burst, double tokens, int extra) {}
+public record QuotaShare(String organisation, double rate, double burst, double tokens, int extra) {}
--- a/core/src/main/java/org/cicadahead/fleet/Allotments.java
+++ b/core/src/main/java/org/cicadahead/fleet/QuotaShares.java
@@ -9,10 +9,10 @@
  * @param validMillis how long they hold from the moment at which the entry asked, in milliseconds
  * @param shares a line for each organisation
  */
-public record Allotments(long validMillis, List<Allotment> shares) implements Message {
+public record QuotaShares(long validMillis, List<QuotaShare> shares) implements Message {
 
     /** Copies the list. */
-    public Allotments {
+    public QuotaShares {
         shares = shares == null ? List.of() : List.copyOf(shares);
     }
 }
--- a/core/src/main/java/org/cicadahead/fleet/AskAllotments.java
+++ b/core/src/main/java/org/cicadahead/fleet/RequestQuota.java
@@ -4,15 +4,15 @@
 import org.cicadahead.protocol.Message;
 
 /**
- * Asks the leader of the hubs for shares of rates. Answered by {@link Allotments}.
+ * Asks the leader of the hubs for shares of rates. Answered by {@link QuotaShares}.
  *
  * @param entry the name of the entry
  * @param needs a line for each organisation
  */
-public record AskAllotments(String entry, List<AllotmentNeed> needs) implements Message {
+public record RequestQuota(String entry, List<QuotaNeed> needs) implements Message {
 
     /** Copies the list. */
-    public AskAllotments {
+    public RequestQuota {
         needs = needs == null ? List.of() : List.copyOf(needs);
     }
 }
--- a/gateway/src/main/java/org/cicadahead/gateway/AnswerHead.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/AnswerHead.java
@@ -8,10 +8,10 @@
  * @param status the status
  * @param fields the headers that are passed on to the caller
  * @param attempt the attempt that the endpoint says it answers; empty if it does not say
- * @param receipt whether it carries the endpoint's proof that it ran the request
+ * @param signature whether it carries the endpoint's proof that it ran the request
  * @param notRun whether the endpoint says that it did not run the request
  */
-public record AnswerHead(int status, List<HeaderField> fields, String attempt, boolean receipt, boolean notRun) {
+public record AnswerHead(int status, List<HeaderField> fields, String attempt, boolean signature, boolean notRun) {
     private static final int OK = 200;
     private static final int REDIRECT = 300;
 
--- a/gateway/src/main/java/org/cicadahead/gateway/AnswerRelay.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/AnswerRelay.java
@@ -37,7 +37,7 @@
             return received.status() == MISDIRECTED ? RetryReason.WRONG_INSTANCE : RetryReason.REJECTED;
         }
         boolean own = received.attempt().equals(admitted.caller().attempt());
-        if (!own || received.isSuccess() && !received.receipt()) {
+        if (!own || received.isSuccess() && !received.signature()) {
             return RetryReason.BAD_ANSWER;
         }
         boolean failed = received.status() >= SERVER_ERROR;
--- a/gateway/src/main/java/org/cicadahead/gateway/Attempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/Attempts.java
@@ -46,7 +46,7 @@
     private final TurnEnd turn;
     private final Set<String> tried = new HashSet<>();
     private AnswerRelay relay;
-    private EndpointDesk.Placement placement;
+    private EndpointSelector.Placement placement;
     private Runnable cancellation;
     private ScheduledFuture<?> patience;
     private long sentMillis;
@@ -103,7 +103,7 @@
                 return;
             }
             String session = admitted.service().runsModels() ? admitted.caller().cacheLine() : "";
-            placement = scope.context().desk().place(admitted.service().name(), session, tried, now);
+            placement = scope.context().selector().place(admitted.service().name(), session, tried, now);
             if (placement == null) {
                 noEndpoint();
                 return;
@@ -178,7 +178,7 @@
     }
 
     private void record(String outcome, long now) {
-        scope.trail().attempt(placement.record().id(), outcome, sentMillis, now);
+        scope.trace().attempt(placement.record().id(), outcome, sentMillis, now);
     }
 
     /** Goes on at another endpoint, if that is allowed and useful. */
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointDesk.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointSelector.java
@@ -12,7 +12,7 @@
 import org.cicadahead.placement.KnownEndpoint;
 
 /** The endpoints as the requests of an entry share them. Safe for use by several threads; its lock is a leaf. */
-final class EndpointDesk {
+final class EndpointSelector {
     /** The weight of a request in the mean of its kind; about the last fifty count. */
     private static final double MEAN_GAIN = 0.02;
 
@@ -23,14 +23,14 @@
     private final EndpointRoster roster;
     private final EndpointChoice choice;
 
-    EndpointDesk(String zone, long reportIntervalMillis) {
+    EndpointSelector(String zone, long heartbeatIntervalMillis) {
         this.zone = zone;
-        this.roster = EndpointRoster.create(reportIntervalMillis);
+        this.roster = EndpointRoster.create(heartbeatIntervalMillis);
         this.choice = EndpointChoice.over(roster);
     }
 
     synchronized void updated(FleetUpdate update, long nowMillis) {
-        update.endpoints().forEach(report -> roster.heard(report, nowMillis));
+        update.endpoints().forEach(heartbeat -> roster.heard(heartbeat, nowMillis));
         update.alive().forEach(id -> roster.alive(id, nowMillis));
         roster.forget(nowMillis);
     }
@@ -62,7 +62,7 @@
 
         /** The endpoint answered whole: a request of a kind, in some milliseconds for each event or answer. */
         void succeeded(String kind, double millis, long nowMillis) {
-            synchronized (EndpointDesk.this) {
+            synchronized (EndpointSelector.this) {
                 if (end()) {
                     endpoint.succeeded();
                     double mean = means.merge(kind, millis, (before, now) -> before + MEAN_GAIN * (now - before));
@@ -73,13 +73,13 @@
 
         /** The caller or the time limit ended the request, which tells nothing of the endpoint. */
         void cancelled() {
-            synchronized (EndpointDesk.this) {
+            synchronized (EndpointSelector.this) {
                 end();
             }
         }
 
         void failed(RetryReason reason, long nowMillis) {
-            synchronized (EndpointDesk.this) {
+            synchronized (EndpointSelector.this) {
                 if (!end()) {
                     return;
                 }
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayConfig.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayConfig.java
@@ -9,9 +9,9 @@
  * @param name the name of the VM
  * @param zone its availability zone
  * @param hubs addresses of the peer servers of hubs
- * @param reportIntervalMillis how often an endpoint reports, in milliseconds
+ * @param heartbeatIntervalMillis how often an endpoint sends a heartbeat, in milliseconds
  */
-public record GatewayConfig(String name, String zone, List<String> hubs, long reportIntervalMillis) {
+public record GatewayConfig(String name, String zone, List<String> hubs, long heartbeatIntervalMillis) {
 
     /**
      * Checks the settings.
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
@@ -7,11 +7,11 @@
 
 /** What the requests of an entry share. Safe for use by several threads. */
 final class GatewayContext {
-    private final EndpointDesk desk;
+    private final EndpointSelector selector;
     private final RateGate rates;
     private final TurnStores stores;
     private final TurnTexts texts = new TurnTexts();
-    private final ProgramCensus programs = new ProgramCensus();
+    private final ProgramTracker programs = new ProgramTracker();
     private final EndpointClient endpoints;
     private final GatewayCounters counters;
     private final DecisionLog decisions;
@@ -22,7 +22,7 @@
     private volatile SiteIndex site;
 
     GatewayContext(
-            EndpointDesk desk,
+            EndpointSelector selector,
             RateGate rates,
             TurnStores stores,
             EndpointClient endpoints,
@@ -31,7 +31,7 @@
             ScheduledExecutorService timer,
             LongSupplier clock,
             int maxActive) {
-        this.desk = desk;
+        this.selector = selector;
         this.rates = rates;
         this.stores = stores;
         this.endpoints = endpoints;
@@ -42,8 +42,8 @@
         this.maxActive = maxActive;
     }
 
-    EndpointDesk desk() {
-        return desk;
+    EndpointSelector selector() {
+        return selector;
     }
 
     RateGate rates() {
@@ -58,7 +58,7 @@
         return texts;
     }
 
-    ProgramCensus programs() {
+    ProgramTracker programs() {
         return programs;
     }
 
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
@@ -6,12 +6,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import org.cicadahead.fleet.Allotments;
-import org.cicadahead.fleet.AskAllotments;
 import org.cicadahead.fleet.DaemonPlace;
 import org.cicadahead.fleet.FleetMessages;
 import org.cicadahead.fleet.FleetRole;
 import org.cicadahead.fleet.FleetUpdate;
+import org.cicadahead.fleet.QuotaShares;
+import org.cicadahead.fleet.RequestQuota;
 import org.cicadahead.node.DaemonThreads;
 import org.cicadahead.node.Node;
 import org.cicadahead.protocol.MessageCatalog;
@@ -50,7 +50,7 @@
     private final MessageCatalog catalog = FleetMessages.catalog(MessageCatalog.standard());
     private final ScheduledThreadPoolExecutor timer =
             new ScheduledThreadPoolExecutor(1, DaemonThreads.named("gateway-timer"));
-    private final EndpointDesk desk;
+    private final EndpointSelector selector;
     private final RateGate rates;
     private final TurnStores stores;
     private final ControlClient hubs;
@@ -61,12 +61,12 @@
     private GatewayNode(GatewayConfig config, EndpointClient endpoints, DecisionLog decisions, MetricRegistry metrics) {
         this.config = config;
         timer.setRemoveOnCancelPolicy(true);
-        desk = new EndpointDesk(config.zone(), config.reportIntervalMillis());
+        selector = new EndpointSelector(config.zone(), config.heartbeatIntervalMillis());
         hubs = ControlClient.to(config.hubs().stream().map(Addresses::parse).toList(), catalog);
         rates = new RateGate(config.name(), this::ask, GatewayNode::nowMillis);
         stores = new TurnStores(catalog, timer);
         context = new GatewayContext(
-                desk,
+                selector,
                 rates,
                 stores,
                 endpoints,
@@ -198,8 +198,8 @@
         }
     }
 
-    private CompletableFuture<Allotments> ask(AskAllotments ask) {
-        return hubs.call(ask, Allotments.class, ASK_MILLIS);
+    private CompletableFuture<QuotaShares> ask(RequestQuota ask) {
+        return hubs.call(ask, QuotaShares.class, ASK_MILLIS);
     }
 
     private synchronized void configured(SiteConfiguration site) {
@@ -212,7 +212,7 @@
     }
 
     private void updated(FleetUpdate update) {
-        desk.updated(update, nowMillis());
+        selector.updated(update, nowMillis());
         if (update.site() != null) {
             configured(update.site());
         }
--- a/gateway/src/main/java/org/cicadahead/gateway/ProgramCensus.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ProgramTracker.java
@@ -2,10 +2,10 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import org.cicadahead.fleet.Standing;
+import org.cicadahead.fleet.PriorityClass;
 
 /** The programs that an entry has seen lately, and how many requests they send. Safe for use by several threads. */
-final class ProgramCensus {
+final class ProgramTracker {
     /** The programs that are remembered; some minutes at the peak of an entry. */
     static final int MAX_PROGRAMS = 4_000;
     /** Requests are counted over about this time, in milliseconds. */
@@ -28,11 +28,11 @@
         private long seenMillis;
     }
 
-    /** Counts a request and returns its standing. */
-    synchronized Standing standing(AdmittedRequest admitted, long nowMillis) {
+    /** Counts a request and returns its priority class. */
+    synchronized PriorityClass priority(AdmittedRequest admitted, long nowMillis) {
         ProgramLine line = admitted.caller().line();
         if (line == null) {
-            return Standing.CALL;
+            return PriorityClass.CALL;
         }
         Activity activity = programs.get(line.program());
         if (activity == null) {
@@ -42,13 +42,13 @@
         activity.requests = activity.requests * Math.exp(-(nowMillis - activity.seenMillis) / WINDOW_MILLIS) + 1;
         activity.seenMillis = nowMillis;
         if (!admitted.route().repetition().isStreamed()) {
-            return Standing.CALL;
+            return PriorityClass.CALL;
         }
         if (activity.requests > EXCESSIVE_REQUESTS) {
-            return Standing.EXCESSIVE;
+            return PriorityClass.EXCESSIVE;
         }
-        boolean underWay = activity.begun || !admitted.caller().previousTurn().isEmpty();
-        return underWay ? Standing.UNDER_WAY : Standing.BEGINNING;
+        boolean running = activity.begun || !admitted.caller().previousTurn().isEmpty();
+        return running ? PriorityClass.RUNNING : PriorityClass.NEW;
     }
 
     /** Takes note that a request of a program was admitted, so that the program is under way. */
--- a/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
@@ -9,13 +9,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.cicadahead.allotment.LocalAllotment;
-import org.cicadahead.fleet.Allotment;
-import org.cicadahead.fleet.AllotmentNeed;
-import org.cicadahead.fleet.Allotments;
-import org.cicadahead.fleet.AskAllotments;
-import org.cicadahead.fleet.Standing;
+import org.cicadahead.fleet.PriorityClass;
+import org.cicadahead.fleet.QuotaNeed;
+import org.cicadahead.fleet.QuotaShare;
+import org.cicadahead.fleet.QuotaShares;
+import org.cicadahead.fleet.RequestQuota;
 import org.cicadahead.model.RefusalReason;
+import org.cicadahead.quota.LocalQuota;
 import org.cicadahead.site.SiteConfiguration;
 import org.cicadahead.site.SiteOrganisation;
 import org.jboss.logging.Logger;
@@ -49,14 +49,14 @@
 
     /** The leader of the hubs as the gate asks it. */
     interface HubLeader {
-        CompletableFuture<Allotments> ask(AskAllotments ask);
+        CompletableFuture<QuotaShares> ask(RequestQuota ask);
     }
 
-    private record Waiter(Standing standing, long number, Consumer<GatewayRefusal> decision, long untilMillis)
+    private record Waiter(PriorityClass priority, long number, Consumer<GatewayRefusal> decision, long untilMillis)
             implements Comparable<Waiter> {
         @Override
         public int compareTo(Waiter other) {
-            int order = standing.compareTo(other.standing);
+            int order = priority.compareTo(other.priority);
             return order != 0 ? order : Long.compare(number, other.number);
         }
     }
@@ -65,13 +65,13 @@
 
     /** What is known of one organisation. */
     private static final class Shares {
-        private final LocalAllotment allotment;
+        private final LocalQuota quota;
         private final TreeSet<Waiter> waiters = new TreeSet<>();
         private double rate;
         private boolean leaderMissing;
 
-        Shares(LocalAllotment allotment) {
-            this.allotment = allotment;
+        Shares(LocalQuota quota) {
+            this.quota = quota;
         }
     }
 
@@ -82,7 +82,7 @@
     }
 
     /** Decides on a request; the decision is null if it is admitted. */
-    void admit(SiteOrganisation organisation, Standing standing, Consumer<GatewayRefusal> decision) {
+    void admit(SiteOrganisation organisation, PriorityClass priority, Consumer<GatewayRefusal> decision) {
         if (organisation == null || !organisation.limited()) {
             decision.accept(null);
             return;
@@ -91,12 +91,12 @@
         boolean admitted;
         synchronized (this) {
             Shares shares = organisations.computeIfAbsent(
-                    organisation.name(), name -> new Shares(LocalAllotment.create(name, now)));
+                    organisation.name(), name -> new Shares(LocalQuota.create(name, now)));
             shares.rate = organisation.ratePerSecond();
-            shares.allotment.arrived(now);
-            admitted = isNext(shares, standing) && shares.allotment.tryTake(standing, now);
+            shares.quota.arrived(now);
+            admitted = isNext(shares, priority) && shares.quota.tryTake(priority, now);
             if (!admitted) {
-                shares.waiters.add(new Waiter(standing, ++lastWaiter, decision, now + WAIT_MILLIS));
+                shares.waiters.add(new Waiter(priority, ++lastWaiter, decision, now + WAIT_MILLIS));
             }
         }
         if (admitted) {
@@ -112,7 +112,7 @@
             synchronized (this) {
                 Shares shares = organisations.get(organisation.name());
                 if (shares != null) {
-                    shares.allotment.giveBack(clock.getAsLong());
+                    shares.quota.giveBack(clock.getAsLong());
                 }
             }
         }
@@ -126,7 +126,7 @@
             organisations.forEach((name, shares) -> {
                 SiteOrganisation limit = limits.get(name);
                 if (limit != null && limit.limited() && shares.rate > 0) {
-                    shares.allotment.scale(limit.ratePerSecond() / shares.rate, now);
+                    shares.quota.scale(limit.ratePerSecond() / shares.rate, now);
                     shares.rate = limit.ratePerSecond();
                 }
             });
@@ -141,7 +141,7 @@
         boolean due;
         synchronized (this) {
             organisations.values().forEach(shares -> drain(shares, NOT_ASKED, decided, now));
-            organisations.values().removeIf(shares -> shares.waiters.isEmpty() && shares.allotment.isIdle(now));
+            organisations.values().removeIf(shares -> shares.waiters.isEmpty() && shares.quota.isIdle(now));
             due = !organisations.isEmpty()
                     && (now - renewedMillis >= RENEW_MILLIS
                             || siteChanged
@@ -154,7 +154,7 @@
     }
 
     private void ask(long now) {
-        AskAllotments ask;
+        RequestQuota ask;
         long asked;
         synchronized (this) {
             if (asking || now - askedMillis < ASK_GAP_MILLIS) {
@@ -164,14 +164,14 @@
             asked = lastWaiter;
             siteChanged = false;
             askedMillis = now;
-            List<AllotmentNeed> needs = new ArrayList<>();
-            organisations.values().forEach(shares -> needs.add(shares.allotment.need(urgent(shares), now)));
-            ask = new AskAllotments(entry, needs);
+            List<QuotaNeed> needs = new ArrayList<>();
+            organisations.values().forEach(shares -> needs.add(shares.quota.need(urgent(shares), now)));
+            ask = new RequestQuota(entry, needs);
         }
         leader.ask(ask).whenComplete((reply, failure) -> answered(reply, failure, now, asked));
     }
 
-    private void answered(Allotments reply, Throwable failure, long sentMillis, long askedWaiter) {
+    private void answered(QuotaShares reply, Throwable failure, long sentMillis, long askedWaiter) {
         long now = clock.getAsLong();
         List<Decided> decided = new ArrayList<>();
         synchronized (this) {
@@ -180,11 +180,11 @@
                 LOG.debugf("gateway: No shares of rates: %s", failure.getMessage());
                 organisations.values().forEach(shares -> shares.leaderMissing = true);
             } else {
-                for (Allotment share : reply.shares()) {
+                for (QuotaShare share : reply.shares()) {
                     Shares shares = organisations.get(share.organisation());
                     if (shares != null) {
                         shares.leaderMissing = false;
-                        shares.allotment.allot(share, sentMillis, reply.validMillis(), now);
+                        shares.quota.grant(share, sentMillis, reply.validMillis(), now);
                         drain(shares, askedWaiter, decided, now);
                     }
                 }
@@ -200,13 +200,13 @@
         return organisations.values().stream().anyMatch(shares -> !shares.waiters.isEmpty());
     }
 
-    private static boolean isNext(Shares shares, Standing standing) {
-        return shares.waiters.isEmpty() || shares.waiters.first().standing.compareTo(standing) > 0;
+    private static boolean isNext(Shares shares, PriorityClass priority) {
+        return shares.waiters.isEmpty() || shares.waiters.first().priority.compareTo(priority) > 0;
     }
 
-    private static Map<Standing, Integer> urgent(Shares shares) {
-        Map<Standing, Integer> urgent = new EnumMap<>(Standing.class);
-        shares.waiters.forEach(waiter -> urgent.merge(waiter.standing, 1, Integer::sum));
+    private static Map<PriorityClass, Integer> urgent(Shares shares) {
+        Map<PriorityClass, Integer> urgent = new EnumMap<>(PriorityClass.class);
+        shares.waiters.forEach(waiter -> urgent.merge(waiter.priority, 1, Integer::sum));
         return urgent;
     }
 
@@ -216,7 +216,7 @@
      */
     private static void drain(Shares shares, long askedWaiter, List<Decided> decided, long now) {
         long overtaken = 0;
-        while (!shares.waiters.isEmpty() && shares.allotment.tryTake(shares.waiters.first().standing, now)) {
+        while (!shares.waiters.isEmpty() && shares.quota.tryTake(shares.waiters.first().priority, now)) {
             Waiter first = shares.waiters.pollFirst();
             overtaken += first.number > askedWaiter ? 1 : 0;
             decided.add(new Decided(first.decision, null));
@@ -224,7 +224,7 @@
         long position = 0;
         for (var left = shares.waiters.iterator(); left.hasNext(); ) {
             Waiter waiter = left.next();
-            long turnMillis = shares.allotment.retryAfterMillis(now) * ++position;
+            long turnMillis = shares.quota.retryAfterMillis(now) * ++position;
             // What was granted for a request went to one that came later and goes before, so it is asked for again.
             boolean answered = waiter.number <= askedWaiter && overtaken-- <= 0;
             boolean tooFar = answered && now + turnMillis > waiter.untilMillis;
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
@@ -1,6 +1,6 @@
 package org.cicadahead.gateway;
 
-import org.cicadahead.fleet.Standing;
+import org.cicadahead.fleet.PriorityClass;
 import org.cicadahead.model.RefusalReason;
 import org.cicadahead.site.SiteIndex;
 
@@ -30,11 +30,11 @@
             scope.refuse(e.refusal());
             return;
         }
-        scope.trail().admitted(admitted, index.site().version());
+        scope.trace().admitted(admitted, index.site().version());
         scope.expireAt(admitted.deadlineMillis());
-        Standing standing = context.programs().standing(admitted, caller.receivedMillis());
-        scope.trail().standing(standing);
-        context.rates().admit(admitted.organisation(), standing, refusal -> rated(scope, admitted, refusal));
+        PriorityClass priority = context.programs().priority(admitted, caller.receivedMillis());
+        scope.trace().priority(priority);
+        context.rates().admit(admitted.organisation(), priority, refusal -> rated(scope, admitted, refusal));
     }
 
     private static void rated(RequestScope scope, AdmittedRequest admitted, GatewayRefusal refusal) {
@@ -46,7 +46,7 @@
             scope.context().rates().giveBack(admitted.organisation());
             return;
         }
-        scope.trail().rated(scope.context().nowMillis());
+        scope.trace().rated(scope.context().nowMillis());
         scope.context().programs().begun(admitted);
         if (admitted.isTurn()) {
             TurnSession.open(scope, admitted);
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestScope.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestScope.java
@@ -6,7 +6,7 @@
 
 /**
  * One request from its arrival to its only end. Safe for use by several threads; its lock is taken before those of the
- * desk and the rate gate.
+ * selector and the rate gate.
  *
  * <p>Whatever ends the request first (an answer, a refusal, the time limit, the caller's departure) wins; what comes
  * later has no effect. The present stage is told when it is to give up.
@@ -15,7 +15,7 @@
     private final GatewayContext context;
     private final CallerRequest caller;
     private final CallerExchange exchange;
-    private final Trail trail;
+    private final RequestTrace trace;
     private Stage stage;
     private ScheduledFuture<?> deadline;
     private boolean begun;
@@ -37,7 +37,7 @@
         this.context = context;
         this.caller = caller;
         this.exchange = exchange;
-        this.trail = new Trail(caller);
+        this.trace = new RequestTrace(caller);
         context.active().incrementAndGet();
         exchange.onGone(this::callerGone);
     }
@@ -50,8 +50,8 @@
         return caller;
     }
 
-    Trail trail() {
-        return trail;
+    RequestTrace trace() {
+        return trace;
     }
 
     /** Ends the request at a time unless it has ended before. */
@@ -161,7 +161,7 @@
             deadline.cancel(false);
         }
         context.active().decrementAndGet();
-        context.decisions().line(trail.line(outcome, status, tokens, context.nowMillis(), System.currentTimeMillis()));
+        context.decisions().line(trace.line(outcome, status, tokens, context.nowMillis(), System.currentTimeMillis()));
         return true;
     }
 }
--- a/gateway/src/main/java/org/cicadahead/gateway/Trail.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
@@ -6,23 +6,23 @@
 import java.io.StringWriter;
 import java.util.ArrayList;
 import java.util.List;
-import org.cicadahead.fleet.Standing;
+import org.cicadahead.fleet.PriorityClass;
 
 /** What was decided on one request, written as one line at its end. Not safe for use by several threads. */
-final class Trail {
+final class RequestTrace {
     private static final JsonFactory JSON = new JsonFactory();
 
     private final CallerRequest caller;
     private final List<Attempt> attempts = new ArrayList<>();
     private AdmittedRequest admitted;
     private long siteVersion;
-    private Standing standing;
+    private PriorityClass priority;
     private long rateMillis = -1;
     private long openMillis = -1;
 
     private record Attempt(String endpoint, String outcome, long beganMillis, long endedMillis) {}
 
-    Trail(CallerRequest caller) {
+    RequestTrace(CallerRequest caller) {
         this.caller = caller;
     }
 
@@ -31,8 +31,8 @@
         siteVersion = version;
     }
 
-    void standing(Standing value) {
-        standing = value;
+    void priority(PriorityClass value) {
+        priority = value;
     }
 
     void rated(long nowMillis) {
@@ -67,8 +67,8 @@
                 json.writeStringField("organisation", admitted.organisationName());
                 json.writeNumberField("site_version", siteVersion);
             }
-            if (standing != null) {
-                json.writeStringField("standing", standing.name());
+            if (priority != null) {
+                json.writeStringField("priority", priority.name());
             }
             json.writeStringField("outcome", outcome);
             json.writeNumberField("status", status);
--- a/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
@@ -12,7 +12,7 @@
     NOT_SENT(false),
     /** The connection was lost after the request was sent. */
     LOST(true),
-    /** The answer was not one to this request, or carried no receipt. */
+    /** The answer was not one to this request, or carried no signature. */
     BAD_ANSWER(true),
     /** The endpoint failed the request. */
     FAILED(true),
--- a/gateway/src/main/java/org/cicadahead/gateway/TurnSession.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/TurnSession.java
@@ -104,7 +104,7 @@
     }
 
     private void opened(TurnOpened opened, byte[] known) {
-        scope.trail().opened(scope.context().nowMillis());
+        scope.trace().opened(scope.context().nowMillis());
         if (opened.verdict() == TurnOpened.Verdict.OPEN) {
             run(opened.history() == null ? known : opened.history());
         } else {
--- a/gateway/src/main/java/org/cicadahead/hub/HubConfig.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubConfig.java
@@ -14,7 +14,7 @@
  * @param dataFolder where its files live
  * @param bootstrap whether the seeds found the group
  * @param faultsTolerated how many hubs may be lost at once
- * @param reportIntervalMillis how often an endpoint reports, in milliseconds
+ * @param heartbeatIntervalMillis how often an endpoint sends a heartbeat, in milliseconds
  */
 public record HubConfig(
         String name,
@@ -24,7 +24,7 @@
         Path dataFolder,
         boolean bootstrap,
         int faultsTolerated,
-        long reportIntervalMillis) {
+        long heartbeatIntervalMillis) {
 
     /**
      * Checks the settings.
--- a/gateway/src/main/java/org/cicadahead/hub/HubNode.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubNode.java
@@ -12,16 +12,16 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.cicadahead.fleet.DaemonPlace;
+import org.cicadahead.fleet.DecommissionState;
+import org.cicadahead.fleet.DecommissionStore;
 import org.cicadahead.fleet.EndpointPhase;
 import org.cicadahead.fleet.EndpointRecord;
 import org.cicadahead.fleet.FleetMessages;
 import org.cicadahead.fleet.FleetRole;
 import org.cicadahead.fleet.FleetUpdate;
-import org.cicadahead.fleet.ReadRetirement;
+import org.cicadahead.fleet.ReadDecommission;
 import org.cicadahead.fleet.ReadSite;
 import org.cicadahead.fleet.ReadStoreMembers;
-import org.cicadahead.fleet.RetireStore;
-import org.cicadahead.fleet.RetirementState;
 import org.cicadahead.fleet.SiteDocument;
 import org.cicadahead.fleet.SiteStored;
 import org.cicadahead.fleet.StoreMembers;
@@ -52,7 +52,7 @@
 public final class HubNode implements Node {
     /** How long an operator's call may take, in milliseconds; callers move on after a second without an answer. */
     private static final long CALL_MILLIS = 900;
-    /** How often reports without a change are passed on, in milliseconds; a fraction of the interval of reports. */
+    /** How often heartbeats without a change are passed on, in milliseconds; a fraction of their interval. */
     private static final long ALIVE_MILLIS = 500;
 
     private static final String LOG_FOLDER = "hub";
@@ -79,7 +79,7 @@
     private HubNode(HubConfig config) {
         this.config = config;
         DaemonPlace self = new DaemonPlace(config.name(), FleetRole.HUB, config.zone(), config.address());
-        this.watchers = new Watchers(self, EndpointRoster.create(config.reportIntervalMillis()));
+        this.watchers = new Watchers(self, EndpointRoster.create(config.heartbeatIntervalMillis()));
         this.hubs = ControlClient.to(addresses(config.seeds()), catalog);
         this.service = new HubService(
                 watchers,
@@ -133,13 +133,13 @@
     }
 
     /**
-     * Takes a report of an endpoint. When this returns, what has changed is on its way to all daemons that watch.
+     * Takes a heartbeat of an endpoint. When this returns, what has changed is on its way to all daemons that watch.
      *
-     * @param report the report
+     * @param heartbeat the heartbeat
      * @param nowMillis monotonic time in milliseconds
      */
-    public void report(EndpointRecord report, long nowMillis) {
-        watchers.report(report, nowMillis);
+    public void heartbeat(EndpointRecord heartbeat, long nowMillis) {
+        watchers.heartbeat(heartbeat, nowMillis);
     }
 
     /**
@@ -150,27 +150,27 @@
      * @param nowMillis monotonic time in milliseconds
      */
     public void left(String id, long bornMillis, long nowMillis) {
-        watchers.report(new EndpointRecord(id, bornMillis, 0, "", "", "", 0, EndpointPhase.GONE, 0), nowMillis);
+        watchers.heartbeat(new EndpointRecord(id, bornMillis, 0, "", "", "", 0, EndpointPhase.GONE, 0), nowMillis);
     }
 
     /**
-     * Asks that a store is emptied.
+     * Asks that a store is decommissioned.
      *
      * @param name the name of its VM
      * @return how far it is; fails with a {@link WireException} if that is not known
      */
-    public CompletableFuture<RetirementState> retire(String name) {
-        return hubs.call(new RetireStore(name, ""), RetirementState.class, CALL_MILLIS);
+    public CompletableFuture<DecommissionState> decommission(String name) {
+        return hubs.call(new DecommissionStore(name, ""), DecommissionState.class, CALL_MILLIS);
     }
 
     /**
-     * Asks how far the retirement of a store is.
+     * Asks how far the decommissioning of a store is.
      *
      * @param name the name of its VM
      * @return how far it is; fails with a {@link WireException} if that is not known
      */
-    public CompletableFuture<RetirementState> retirement(String name) {
-        return hubs.call(new ReadRetirement(name), RetirementState.class, CALL_MILLIS);
+    public CompletableFuture<DecommissionState> decommissionState(String name) {
+        return hubs.call(new ReadDecommission(name), DecommissionState.class, CALL_MILLIS);
     }
 
     /**
--- a/gateway/src/main/java/org/cicadahead/hub/HubService.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubService.java
@@ -3,21 +3,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
-import org.cicadahead.allotment.AllotmentTable;
-import org.cicadahead.fleet.Allotments;
-import org.cicadahead.fleet.AskAllotments;
 import org.cicadahead.fleet.DaemonPlace;
+import org.cicadahead.fleet.DecommissionState;
+import org.cicadahead.fleet.DecommissionStore;
 import org.cicadahead.fleet.FleetRole;
 import org.cicadahead.fleet.FoundStores;
-import org.cicadahead.fleet.ReadRetirement;
+import org.cicadahead.fleet.QuotaShares;
+import org.cicadahead.fleet.ReadDecommission;
 import org.cicadahead.fleet.ReadSite;
-import org.cicadahead.fleet.RetireStore;
-import org.cicadahead.fleet.RetirementState;
+import org.cicadahead.fleet.RequestQuota;
 import org.cicadahead.fleet.SiteDocument;
 import org.cicadahead.fleet.SubmitSite;
 import org.cicadahead.fleet.WatchFleet;
 import org.cicadahead.protocol.Message;
 import org.cicadahead.protocol.NotLeader;
+import org.cicadahead.quota.QuotaTable;
 import org.cicadahead.replication.ReplicatedNode;
 import org.cicadahead.site.SiteConfiguration;
 import org.cicadahead.site.SiteOrganisation;
@@ -37,11 +37,11 @@
     private final StoreGroup stores;
     private final LongSupplier clock;
     private final int storesNeeded;
-    private final Object allotmentLock = new Object();
+    private final Object quotaLock = new Object();
     private volatile ReplicatedNode log;
     private volatile SiteStateMachine machine;
-    private AllotmentTable allotments;
-    private long allotmentTerm = -1;
+    private QuotaTable quotas;
+    private long quotaTerm = -1;
     private SiteConfiguration limitsOf;
     private Map<String, SiteOrganisation> limits = Map.of();
 
@@ -96,12 +96,12 @@
             submit(submitted, responder);
         } else if (request instanceof ReadSite) {
             read(responder);
-        } else if (request instanceof AskAllotments ask) {
-            allot(ask, responder);
-        } else if (request instanceof RetireStore retire) {
-            retire(retire, responder);
-        } else if (request instanceof ReadRetirement read) {
-            retirement(read.name(), responder);
+        } else if (request instanceof RequestQuota ask) {
+            grant(ask, responder);
+        } else if (request instanceof DecommissionStore decommission) {
+            decommission(decommission, responder);
+        } else if (request instanceof ReadDecommission read) {
+            decommissionState(read.name(), responder);
         } else {
             throw new WireException(WireException.Kind.REMOTE, "unexpected " + request.getClass());
         }
@@ -127,16 +127,15 @@
         }
     }
 
-    private void allot(AskAllotments ask, Responder responder) {
+    private void grant(RequestQuota ask, Responder responder) {
         long now = clock.getAsLong();
-        Allotments reply;
-        synchronized (allotmentLock) {
-            if (allotmentTerm != log.term()) {
-                allotmentTerm = log.term();
-                allotments = AllotmentTable.create(now);
+        QuotaShares reply;
+        synchronized (quotaLock) {
+            if (quotaTerm != log.term()) {
+                quotaTerm = log.term();
+                quotas = QuotaTable.create(now);
             }
-            reply = new Allotments(
-                    AllotmentTable.LEASE_MILLIS, allotments.ask(ask.entry(), ask.needs(), limits(), now));
+            reply = new QuotaShares(QuotaTable.LEASE_MILLIS, quotas.ask(ask.entry(), ask.needs(), limits(), now));
         }
         responder.reply(log.holdsLease(clock.getAsLong()) ? reply : new NotLeader(log.leaderAddress()));
     }
@@ -151,43 +150,43 @@
         return limits;
     }
 
-    private void retire(RetireStore request, Responder responder) {
-        Map<String, String> retired = machine.state().retired();
+    private void decommission(DecommissionStore request, Responder responder) {
+        Map<String, String> decommissioned = machine.state().decommissioned();
         List<DaemonPlace> known = watchers.daemons(FleetRole.STORE);
         DaemonPlace store = known.stream()
                 .filter(place -> place.name().equals(request.name()))
                 .findFirst()
                 .orElse(null);
-        if (retired.containsKey(request.name())) {
-            responder.reply(new RetirementState(RetirementState.Phase.RUNNING));
+        if (decommissioned.containsKey(request.name())) {
+            responder.reply(new DecommissionState(DecommissionState.Phase.RUNNING));
         } else if (store == null) {
-            responder.reply(new RetirementState(RetirementState.Phase.UNKNOWN));
+            responder.reply(new DecommissionState(DecommissionState.Phase.UNKNOWN));
         } else if (known.stream()
-                                .filter(place -> !retired.containsValue(place.address()))
+                                .filter(place -> !decommissioned.containsValue(place.address()))
                                 .count()
                         - 1
                 < storesNeeded) {
-            responder.reply(new RetirementState(RetirementState.Phase.TOO_FEW));
+            responder.reply(new DecommissionState(DecommissionState.Phase.TOO_FEW));
         } else {
-            LOG.infof("hub: The store %s at %s is to be emptied", store.name(), store.address());
-            responder.replyWith(log.propose(new RetireStore(store.name(), store.address())));
+            LOG.infof("hub: The store %s at %s is being decommissioned", store.name(), store.address());
+            responder.replyWith(log.propose(new DecommissionStore(store.name(), store.address())));
         }
     }
 
-    private void retirement(String name, Responder responder) {
-        String address = machine.state().retired().get(name);
+    private void decommissionState(String name, Responder responder) {
+        String address = machine.state().decommissioned().get(name);
         if (address == null) {
-            responder.reply(new RetirementState(RetirementState.Phase.UNKNOWN));
+            responder.reply(new DecommissionState(DecommissionState.Phase.UNKNOWN));
             return;
         }
         stores.members().whenComplete((members, failure) -> {
             if (failure != null) {
                 LOG.warnf("hub: The members of the stores are not known: %s", failure.getMessage());
-                responder.reply(new RetirementState(RetirementState.Phase.UNCERTAIN));
+                responder.reply(new DecommissionState(DecommissionState.Phase.UNCERTAIN));
             } else {
                 boolean left = !members.addresses().contains(address);
-                responder.reply(
-                        new RetirementState(left ? RetirementState.Phase.COMPLETED : RetirementState.Phase.RUNNING));
+                responder.reply(new DecommissionState(
+                        left ? DecommissionState.Phase.COMPLETED : DecommissionState.Phase.RUNNING));
             }
         });
     }
--- a/gateway/src/main/java/org/cicadahead/hub/SiteState.java
+++ b/gateway/src/main/java/org/cicadahead/hub/SiteState.java
@@ -12,15 +12,15 @@
  * @param site the configuration in force, or null
  * @param source the document as the operator sent it
  * @param storeFounder the address of the store that founds the group of stores, or an empty text
- * @param retired the addresses of the stores that are to be emptied, by the names of their VMs
+ * @param decommissioned the addresses of the stores that are being decommissioned, by the names of their VMs
  */
-record SiteState(SiteConfiguration site, byte[] source, String storeFounder, Map<String, String> retired) {
+record SiteState(SiteConfiguration site, byte[] source, String storeFounder, Map<String, String> decommissioned) {
     static final SiteState EMPTY = new SiteState(null, null, null, null);
 
     SiteState {
         source = source == null ? new byte[0] : source;
         storeFounder = storeFounder == null ? "" : storeFounder;
-        retired = retired == null ? Map.of() : Map.copyOf(retired);
+        decommissioned = decommissioned == null ? Map.of() : Map.copyOf(decommissioned);
     }
 
     long version() {
@@ -30,7 +30,7 @@
     /** Returns the state with a configuration, unless one with the same or a higher version is in force. */
     SiteState with(SubmitSite submitted) {
         boolean newer = site == null || submitted.site().version() > site.version();
-        return newer ? new SiteState(submitted.site(), submitted.source(), storeFounder, retired) : this;
+        return newer ? new SiteState(submitted.site(), submitted.source(), storeFounder, decommissioned) : this;
     }
 
     SiteStored stored(SiteState before) {
@@ -38,11 +38,11 @@
     }
 
     SiteState foundedBy(String address) {
-        return storeFounder.isEmpty() ? new SiteState(site, source, address, retired) : this;
+        return storeFounder.isEmpty() ? new SiteState(site, source, address, decommissioned) : this;
     }
 
-    SiteState retiring(String name, String address) {
-        Map<String, String> next = new TreeMap<>(retired);
+    SiteState decommissioning(String name, String address) {
+        Map<String, String> next = new TreeMap<>(decommissioned);
         next.put(name, address);
         return new SiteState(site, source, storeFounder, next);
     }
--- a/gateway/src/main/java/org/cicadahead/hub/SiteStateMachine.java
+++ b/gateway/src/main/java/org/cicadahead/hub/SiteStateMachine.java
@@ -4,9 +4,9 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.util.function.Consumer;
+import org.cicadahead.fleet.DecommissionState;
+import org.cicadahead.fleet.DecommissionStore;
 import org.cicadahead.fleet.FoundStores;
-import org.cicadahead.fleet.RetireStore;
-import org.cicadahead.fleet.RetirementState;
 import org.cicadahead.fleet.SubmitSite;
 import org.cicadahead.protocol.Command;
 import org.cicadahead.protocol.Done;
@@ -40,9 +40,9 @@
             replace(before.foundedBy(founded.address()));
             return Done.ok();
         }
-        if (command instanceof RetireStore retired) {
-            replace(before.retiring(retired.name(), retired.address()));
-            return new RetirementState(RetirementState.Phase.RUNNING);
+        if (command instanceof DecommissionStore decommissioned) {
+            replace(before.decommissioning(decommissioned.name(), decommissioned.address()));
+            return new DecommissionState(DecommissionState.Phase.RUNNING);
         }
         throw new IOException(
                 "entry " + index + " holds the unexpected " + command.getClass().getSimpleName());
--- a/gateway/src/main/java/org/cicadahead/hub/Watchers.java
+++ b/gateway/src/main/java/org/cicadahead/hub/Watchers.java
@@ -48,7 +48,7 @@
                     List.of(),
                     daemons(),
                     state.storeFounder(),
-                    List.copyOf(state.retired().values()));
+                    List.copyOf(state.decommissioned().values()));
             responder.part(daemon.role() == FleetRole.ENTRY ? whole : whole.withoutSite());
             tellDaemons();
         }
@@ -56,17 +56,17 @@
         responder.onCancel(() -> remove(responder));
     }
 
-    /** Takes a report of an endpoint; tells at once what has changed. */
-    synchronized void report(EndpointRecord report, long nowMillis) {
-        if (roster.heard(report, nowMillis)) {
-            EndpointRecord merged = roster.find(report.id()).record();
+    /** Takes a heartbeat of an endpoint; tells at once what has changed. */
+    synchronized void heartbeat(EndpointRecord heartbeat, long nowMillis) {
+        if (roster.heard(heartbeat, nowMillis)) {
+            EndpointRecord merged = roster.find(heartbeat.id()).record();
             tell(FleetUpdate.of(merged));
         } else {
-            alive.add(report.id());
+            alive.add(heartbeat.id());
         }
     }
 
-    /** Tells which endpoints have reported since the last time. */
+    /** Tells which endpoints have sent a heartbeat since the last time. */
     synchronized void tellAlive(long nowMillis) {
         if (!alive.isEmpty()) {
             tell(FleetUpdate.ofAlive(alive));
@@ -83,14 +83,14 @@
             return;
         }
         state = next;
-        boolean retired = !next.retired().equals(before.retired());
+        boolean decommissioned = !next.decommissioned().equals(before.decommissioned());
         tell(new FleetUpdate(
                 next.version() > before.version() ? next.site() : null,
                 null,
                 null,
                 null,
                 next.storeFounder(),
-                retired ? List.copyOf(next.retired().values()) : null));
+                decommissioned ? List.copyOf(next.decommissioned().values()) : null));
     }
 
     /** Returns the daemons of a role that watch. */
--- a/gateway/src/main/java/org/cicadahead/placement/EndpointChoice.java
+++ b/gateway/src/main/java/org/cicadahead/placement/EndpointChoice.java
@@ -8,7 +8,7 @@
  * availability zone and whether it has the session's prompt in its cache. Not safe for use by several threads.
  *
  * <p>Answers load of several entries that do not see each other's requests, and endpoints that turn slow: both show in
- * the pace, without a report of the endpoint. Rendezvous hashing lets the entries of a zone agree on the engine of a
+ * the pace, without a heartbeat of the endpoint. Rendezvous hashing lets the entries of a zone agree on the engine of a
  * session. The first use is {@link #over(EndpointRoster)}.
  */
 public final class EndpointChoice {
--- a/gateway/src/main/java/org/cicadahead/placement/EndpointRoster.java
+++ b/gateway/src/main/java/org/cicadahead/placement/EndpointRoster.java
@@ -12,14 +12,14 @@
 /**
  * The endpoints that an entry knows, merged from what several hubs tell. Not safe for use by several threads.
  *
- * <p>Reports may come late, twice and through several hubs. An incarnation is known by id and birth; its phase never
+ * <p>Heartbeats may come late, twice and through several hubs. An incarnation is known by id and birth; its phase never
  * goes back, and a younger incarnation at the same address replaces an older one. The first use is
  * {@link #create(long)}.
  */
 public final class EndpointRoster {
-    /** An endpoint without a report for this many intervals of reports counts as silent. */
+    /** An endpoint without a heartbeat for this many intervals counts as silent. */
     static final int SILENT_INTERVALS = 4;
-    /** How long an endpoint that has left is remembered, in milliseconds, so that a late report does not revive it. */
+    /** How long an endpoint that has left is remembered, in milliseconds, so that no late heartbeat revives it. */
     static final long FORGET_MILLIS = 60_000;
 
     private final long silentMillis;
@@ -32,52 +32,52 @@
     /**
      * Returns an empty roster.
      *
-     * @param reportIntervalMillis how often an endpoint reports, in milliseconds
+     * @param heartbeatIntervalMillis how often an endpoint sends a heartbeat, in milliseconds
      * @return the roster
      * @throws IllegalArgumentException if the interval is not positive
      */
-    public static EndpointRoster create(long reportIntervalMillis) {
-        if (reportIntervalMillis <= 0) {
-            throw new IllegalArgumentException("The interval must be positive: " + reportIntervalMillis);
+    public static EndpointRoster create(long heartbeatIntervalMillis) {
+        if (heartbeatIntervalMillis <= 0) {
+            throw new IllegalArgumentException("The interval must be positive: " + heartbeatIntervalMillis);
         }
-        return new EndpointRoster(SILENT_INTERVALS * reportIntervalMillis);
+        return new EndpointRoster(SILENT_INTERVALS * heartbeatIntervalMillis);
     }
 
     /**
-     * Takes a report.
+     * Takes a heartbeat.
      *
-     * @param report the report
+     * @param heartbeat the heartbeat
      * @param nowMillis monotonic time in milliseconds
      * @return true if the endpoint is new or has changed
      */
-    public boolean heard(EndpointRecord report, long nowMillis) {
-        KnownEndpoint known = endpoints.get(report.id());
-        if (known == null || report.bornMillis() > known.record().bornMillis()) {
-            if (known == null && isSuperseded(report)) {
+    public boolean heard(EndpointRecord heartbeat, long nowMillis) {
+        KnownEndpoint known = endpoints.get(heartbeat.id());
+        if (known == null || heartbeat.bornMillis() > known.record().bornMillis()) {
+            if (known == null && isSuperseded(heartbeat)) {
                 return false;
             }
-            endpoints.put(report.id(), new KnownEndpoint(report, nowMillis));
-            supersedeOthers(report);
+            endpoints.put(heartbeat.id(), new KnownEndpoint(heartbeat, nowMillis));
+            supersedeOthers(heartbeat);
             return true;
         }
         EndpointRecord before = known.record();
-        boolean older = report.bornMillis() < before.bornMillis();
-        if (older && !(report.bornMillis() == 0 && report.phase() == EndpointPhase.GONE)) {
+        boolean older = heartbeat.bornMillis() < before.bornMillis();
+        if (older && !(heartbeat.bornMillis() == 0 && heartbeat.phase() == EndpointPhase.GONE)) {
             return false;
         }
-        EndpointPhase phase = before.phase().later(report.phase());
+        EndpointPhase phase = before.phase().later(heartbeat.phase());
         boolean newer =
-                report.sequence() > before.sequence() && !report.address().isEmpty();
-        EndpointRecord merged = (newer ? report : before).in(phase);
+                heartbeat.sequence() > before.sequence() && !heartbeat.address().isEmpty();
+        EndpointRecord merged = (newer ? heartbeat : before).in(phase);
         known.record(merged);
         if (newer) {
             known.alive(nowMillis);
         }
-        return phase != before.phase() || newer && changed(before, report);
+        return phase != before.phase() || newer && changed(before, heartbeat);
     }
 
     /**
-     * Takes note that an endpoint has reported without a change.
+     * Takes note that an endpoint has sent a heartbeat without a change.
      *
      * @param id its id
      * @param nowMillis monotonic time in milliseconds
@@ -100,9 +100,9 @@
     }
 
     /**
-     * Returns the reports of all endpoints, also of those that have left.
+     * Returns the heartbeats of all endpoints, also of those that have left.
      *
-     * @return the reports
+     * @return the heartbeats
      */
     public List<EndpointRecord> records() {
         return endpoints.values().stream().map(KnownEndpoint::record).toList();
@@ -125,7 +125,7 @@
     }
 
     /**
-     * Returns whether an endpoint has not reported for a while.
+     * Returns whether an endpoint has not sent a heartbeat for a while.
      *
      * @param endpoint the endpoint
      * @param nowMillis monotonic time in milliseconds
@@ -152,25 +152,25 @@
                 || before.coldLeftMillis() > 0;
     }
 
-    /** Returns whether a younger incarnation is known at the address, as the report of an older one may come late. */
-    private boolean isSuperseded(EndpointRecord report) {
+    /** Returns whether a younger incarnation is known at the address, as a heartbeat of an older one may come late. */
+    private boolean isSuperseded(EndpointRecord heartbeat) {
         for (KnownEndpoint each : endpoints.values()) {
-            if (each.record().address().equals(report.address())
-                    && each.record().bornMillis() > report.bornMillis()) {
+            if (each.record().address().equals(heartbeat.address())
+                    && each.record().bornMillis() > heartbeat.bornMillis()) {
                 return true;
             }
         }
         return false;
     }
 
-    private void supersedeOthers(EndpointRecord report) {
+    private void supersedeOthers(EndpointRecord heartbeat) {
         Set<String> older = new HashSet<>();
         for (KnownEndpoint each : endpoints.values()) {
             EndpointRecord other = each.record();
-            if (!other.id().equals(report.id())
-                    && !report.address().isEmpty()
-                    && other.address().equals(report.address())
-                    && other.bornMillis() < report.bornMillis()) {
+            if (!other.id().equals(heartbeat.id())
+                    && !heartbeat.address().isEmpty()
+                    && other.address().equals(heartbeat.address())
+                    && other.bornMillis() < heartbeat.bornMillis()) {
                 older.add(other.id());
             }
         }
--- a/gateway/src/main/java/org/cicadahead/placement/KnownEndpoint.java
+++ b/gateway/src/main/java/org/cicadahead/placement/KnownEndpoint.java
@@ -4,7 +4,7 @@
 
 /**
  * An endpoint with what this entry has seen of it. Not safe for use by several threads; {@link EndpointRoster} makes it
- * and keeps its report.
+ * and keeps its heartbeat.
  */
 public final class KnownEndpoint {
     /** An endpoint that fails is left out for this time at first, in milliseconds; it doubles with each failure. */
@@ -39,9 +39,9 @@
     }
 
     /**
-     * Returns its last report.
+     * Returns its last heartbeat.
      *
-     * @return the report
+     * @return the heartbeat
      */
     public EndpointRecord record() {
         return record;
--- a/gateway/src/main/java/org/cicadahead/allotment/LocalAllotment.java
+++ b/gateway/src/main/java/org/cicadahead/quota/LocalQuota.java
@@ -1,16 +1,16 @@
-package org.cicadahead.allotment;
+package org.cicadahead.quota;
 
 import java.util.Map;
-import org.cicadahead.fleet.Allotment;
-import org.cicadahead.fleet.AllotmentNeed;
-import org.cicadahead.fleet.Standing;
+import org.cicadahead.fleet.PriorityClass;
+import org.cicadahead.fleet.QuotaNeed;
+import org.cicadahead.fleet.QuotaShare;
 
 /**
  * The share of one organisation's rate at one entry. Not safe for use by several threads.
  *
  * <p>The first use is {@link #create(String, long)}.
  */
-public final class LocalAllotment {
+public final class LocalQuota {
     /** How long extra requests may be used, in milliseconds. */
     static final long EXTRA_MILLIS = 1_000;
     /** The demand is the mean over about this time, in milliseconds. */
@@ -30,21 +30,21 @@
     private double demand;
     private long demandMillis;
 
-    private LocalAllotment(String organisation, long nowMillis) {
+    private LocalQuota(String organisation, long nowMillis) {
         this.organisation = organisation;
         this.refilledMillis = nowMillis;
         this.demandMillis = nowMillis;
     }
 
     /**
-     * Returns an allotment of nothing.
+     * Returns a quota of nothing.
      *
      * @param organisation the name of the organisation
      * @param nowMillis monotonic time in milliseconds
-     * @return the allotment
+     * @return the quota
      */
-    public static LocalAllotment create(String organisation, long nowMillis) {
-        return new LocalAllotment(organisation, nowMillis);
+    public static LocalQuota create(String organisation, long nowMillis) {
+        return new LocalQuota(organisation, nowMillis);
     }
 
     /**
@@ -58,15 +58,15 @@
     }
 
     /**
-     * Admits a request if there is a token for its standing.
+     * Admits a request if there is a token for its priority class.
      *
-     * @param standing the standing of the request
+     * @param priority the priority class of the request
      * @param nowMillis monotonic time in milliseconds
      * @return true if it is admitted
      */
-    public boolean tryTake(Standing standing, long nowMillis) {
+    public boolean tryTake(PriorityClass priority, long nowMillis) {
         refill(nowMillis);
-        if (tokens >= 1 + standing.floor() * burst) {
+        if (tokens >= 1 + priority.floor() * burst) {
             tokens--;
             return true;
         }
@@ -100,7 +100,7 @@
      * @param validMillis how long it holds from then on
      * @param nowMillis monotonic time in milliseconds
      */
-    public void allot(Allotment share, long sentMillis, long validMillis, long nowMillis) {
+    public void grant(QuotaShare share, long sentMillis, long validMillis, long nowMillis) {
         refill(nowMillis);
         rate = share.rate();
         burst = share.burst();
@@ -131,15 +131,15 @@
     /**
      * Returns what to tell the leader.
      *
-     * @param urgent how many requests wait, by their standing
+     * @param urgent how many requests wait, by their priority class
      * @param nowMillis monotonic time in milliseconds
      * @return the line
      */
-    public AllotmentNeed need(Map<Standing, Integer> urgent, long nowMillis) {
+    public QuotaNeed need(Map<PriorityClass, Integer> urgent, long nowMillis) {
         decay(nowMillis);
         refill(nowMillis);
         boolean held = nowMillis < expiresMillis;
-        return new AllotmentNeed(organisation, demand, held ? rate : 0, held ? burst : 0, spilled, urgent);
+        return new QuotaNeed(organisation, demand, held ? rate : 0, held ? burst : 0, spilled, urgent);
     }
 
     /**
@@ -157,7 +157,7 @@
     }
 
     /**
-     * Returns whether nobody has asked for a while, so that the allotment may be forgotten.
+     * Returns whether nobody has asked for a while, so that the quota may be forgotten.
      *
      * @param nowMillis monotonic time in milliseconds
      * @return true if it is idle
--- a/gateway/src/main/java/org/cicadahead/allotment/OrganisationShares.java
+++ b/gateway/src/main/java/org/cicadahead/quota/OrganisationShares.java
@@ -1,10 +1,10 @@
-package org.cicadahead.allotment;
+package org.cicadahead.quota;
 
 import java.util.HashMap;
 import java.util.Map;
-import org.cicadahead.fleet.Allotment;
-import org.cicadahead.fleet.AllotmentNeed;
-import org.cicadahead.fleet.Standing;
+import org.cicadahead.fleet.PriorityClass;
+import org.cicadahead.fleet.QuotaNeed;
+import org.cicadahead.fleet.QuotaShare;
 import org.cicadahead.site.SiteOrganisation;
 
 /** The shares of one organisation at all entries. */
@@ -39,25 +39,25 @@
     }
 
     OrganisationShares(long beganMillis) {
-        this.adoptUntilMillis = beganMillis + AllotmentTable.LEASE_MILLIS;
+        this.adoptUntilMillis = beganMillis + QuotaTable.LEASE_MILLIS;
         this.refilledMillis = beganMillis;
     }
 
-    Allotment ask(String entry, AllotmentNeed need, SiteOrganisation limits, long nowMillis) {
+    QuotaShare ask(String entry, QuotaNeed need, SiteOrganisation limits, long nowMillis) {
         refill(limits, nowMillis);
         shares.values().removeIf(share -> share.expiresMillis <= nowMillis);
         Share share = shares.computeIfAbsent(entry, name -> new Share());
         share.demand += DEMAND_GAIN * (need.demandPerSecond() - share.demand);
         confirm(share, need);
         takeBack(share, need.spilled(), limits.burst());
-        double rateRoom = limits.ratePerSecond() * AllotmentTable.SHARED_PART - othersRate(share);
-        double burstRoom = limits.burst() * AllotmentTable.SHARED_PART - othersBurst(share);
+        double rateRoom = limits.ratePerSecond() * QuotaTable.SHARED_PART - othersRate(share);
+        double burstRoom = limits.burst() * QuotaTable.SHARED_PART - othersBurst(share);
         if (nowMillis < adoptUntilMillis) {
             // Entries that have not asked yet may hold the rest under the leader before.
             rateRoom = Math.min(rateRoom, need.heldRate());
             burstRoom = Math.min(burstRoom, need.heldBurst());
         }
-        double fair = limits.ratePerSecond() * AllotmentTable.SHARED_PART * part(share);
+        double fair = limits.ratePerSecond() * QuotaTable.SHARED_PART * part(share);
         double rate = Math.max(0, Math.min(rateRoom, Math.min(fair, DEMAND_ROOM * share.demand)));
         double burst = Math.max(0, Math.min(burstRoom, Math.max(1, BURST_SECONDS * rate)));
         if (burst < 1) {
@@ -70,12 +70,12 @@
         share.grantedBurst = burst;
         share.rate = Math.max(share.rate, rate);
         share.burst = Math.max(share.burst, burst);
-        share.expiresMillis = nowMillis + AllotmentTable.LEASE_MILLIS;
-        return new Allotment(need.organisation(), rate, burst, tokens, takeReserve(need.urgent(), limits.burst()));
+        share.expiresMillis = nowMillis + QuotaTable.LEASE_MILLIS;
+        return new QuotaShare(need.organisation(), rate, burst, tokens, takeReserve(need.urgent(), limits.burst()));
     }
 
     /** An entry that holds what it was granted last holds nothing more; else it may still hold what it had before. */
-    private static void confirm(Share share, AllotmentNeed need) {
+    private static void confirm(Share share, QuotaNeed need) {
         boolean took = need.heldRate() <= share.grantedRate && need.heldBurst() <= share.grantedBurst;
         share.rate = took ? share.grantedRate : Math.max(share.rate, need.heldRate());
         share.burst = took ? share.grantedBurst : Math.max(share.burst, need.heldBurst());
@@ -122,12 +122,12 @@
         refilledMillis = nowMillis;
     }
 
-    /** Serves waiting requests in the order of their standing, and leaves the rest to those that go before. */
-    private int takeReserve(Map<Standing, Integer> urgent, double burst) {
+    /** Serves waiting requests in the order of their priority class, and leaves the rest to those that go before. */
+    private int takeReserve(Map<PriorityClass, Integer> urgent, double burst) {
         int taken = 0;
-        for (Standing standing : Standing.values()) {
-            double available = Math.floor(reserveTokens - standing.floor() * burst);
-            int granted = (int) Math.max(0, Math.min(urgent.getOrDefault(standing, 0), available));
+        for (PriorityClass priority : PriorityClass.values()) {
+            double available = Math.floor(reserveTokens - priority.floor() * burst);
+            int granted = (int) Math.max(0, Math.min(urgent.getOrDefault(priority, 0), available));
             reserveTokens -= granted;
             taken += granted;
         }
--- a/gateway/src/main/java/org/cicadahead/allotment/AllotmentTable.java
+++ b/gateway/src/main/java/org/cicadahead/quota/QuotaTable.java
@@ -1,21 +1,21 @@
-package org.cicadahead.allotment;
+package org.cicadahead.quota;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.cicadahead.fleet.Allotment;
-import org.cicadahead.fleet.AllotmentNeed;
+import org.cicadahead.fleet.QuotaNeed;
+import org.cicadahead.fleet.QuotaShare;
 import org.cicadahead.site.SiteOrganisation;
 
 /**
- * What the leader of the hubs has allotted of the rates of all organisations. Not safe for use by several threads.
+ * What the leader of the hubs has granted of the rates of all organisations. Not safe for use by several threads.
  *
  * <p>At each moment the shares under a lease add up to at most {@link #SHARED_PART} of rate and burst, the rest fills a
  * bucket for requests that come where there is no share. So what all entries together admit in any window is at most
  * the burst and the rate. The first use is {@link #create(long)}, when a leader begins.
  */
-public final class AllotmentTable {
+public final class QuotaTable {
     /** How long a share holds, in milliseconds: long enough to outlast a change of the leader and one lost answer. */
     public static final long LEASE_MILLIS = 5_000;
 
@@ -25,7 +25,7 @@
     private final long beganMillis;
     private final Map<String, OrganisationShares> organisations = new HashMap<>();
 
-    private AllotmentTable(long beganMillis) {
+    private QuotaTable(long beganMillis) {
         this.beganMillis = beganMillis;
     }
 
@@ -36,12 +36,12 @@
      *     for {@link #LEASE_MILLIS} more
      * @return the table
      */
-    public static AllotmentTable create(long nowMillis) {
-        return new AllotmentTable(nowMillis);
+    public static QuotaTable create(long nowMillis) {
+        return new QuotaTable(nowMillis);
     }
 
     /**
-     * Allots shares to an entry.
+     * Grants shares to an entry.
      *
      * @param entry the name of the entry
      * @param needs what it needs and holds
@@ -49,11 +49,11 @@
      * @param nowMillis monotonic time in milliseconds
      * @return a share for each organisation that is limited
      */
-    public List<Allotment> ask(
-            String entry, List<AllotmentNeed> needs, Map<String, SiteOrganisation> limits, long nowMillis) {
+    public List<QuotaShare> ask(
+            String entry, List<QuotaNeed> needs, Map<String, SiteOrganisation> limits, long nowMillis) {
         organisations.keySet().retainAll(limits.keySet());
-        List<Allotment> shares = new ArrayList<>();
-        for (AllotmentNeed need : needs) {
+        List<QuotaShare> shares = new ArrayList<>();
+        for (QuotaNeed need : needs) {
             SiteOrganisation organisation = limits.get(need.organisation());
             if (organisation != null && organisation.limited()) {
                 shares.add(organisations
--- a/gateway/src/main/java/org/cicadahead/allotment/package-info.java
+++ b/gateway/src/main/java/org/cicadahead/quota/package-info.java
@@ -1,2 +1,2 @@
 /** Shares of the rates of organisations, without input or output. */
-package org.cicadahead.allotment;
+package org.cicadahead.quota;
--- a/gateway/src/main/java/org/cicadahead/store/StoreNode.java
+++ b/gateway/src/main/java/org/cicadahead/store/StoreNode.java
@@ -54,7 +54,7 @@
     private final StoreService service = new StoreService();
     private final Set<String> known = new TreeSet<>();
     private final RestartedReplica replica = RestartedReplica.of("store", this::startReplica);
-    private Set<String> retired = Set.of();
+    private Set<String> decommissioned = Set.of();
     private volatile TurnStateMachine machine = new TurnStateMachine();
     private PeerServer server;
     private FleetWatch watch;
@@ -140,7 +140,7 @@
         ReplicatedNode started = ReplicatedNode.start(replication, fresh, catalog);
         machine = fresh;
         service.serve(started, fresh);
-        started.surroundings(known, retired);
+        started.surroundings(known, decommissioned);
         LOG.infof("store: Replica %s %s", started.id(), founds ? "founds the group" : "takes part in the group");
         return started;
     }
@@ -154,11 +154,11 @@
                     .filter(place -> place.role() == FleetRole.STORE)
                     .forEach(place -> known.add(place.address()));
         }
-        if (update.retired() != null) {
-            retired = Set.copyOf(update.retired());
+        if (update.decommissioned() != null) {
+            decommissioned = Set.copyOf(update.decommissioned());
         }
         if (replica.node() != null) {
-            replica.node().surroundings(known, retired);
+            replica.node().surroundings(known, decommissioned);
         } else if (!update.storeFounder().isEmpty()) {
             known.add(update.storeFounder());
             join(config.bootstrap() && update.storeFounder().equals(config.address()));
--- a/gateway/src/test/java/org/cicadahead/gateway/FakeEndpoints.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/FakeEndpoints.java
@@ -21,8 +21,8 @@
             this.listener = listener;
         }
 
-        void head(int status, boolean receipt, boolean notRun) {
-            listener.head(new AnswerHead(status, List.of(), request.caller().attempt(), receipt, notRun));
+        void head(int status, boolean signature, boolean notRun) {
+            listener.head(new AnswerHead(status, List.of(), request.caller().attempt(), signature, notRun));
         }
 
         void answer(int status, String body) {
--- a/gateway/src/test/java/org/cicadahead/gateway/ProgramCensusTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/ProgramTrackerTest.java
@@ -3,7 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
-import org.cicadahead.fleet.Standing;
+import org.cicadahead.fleet.PriorityClass;
 import org.cicadahead.site.Repetition;
 import org.cicadahead.site.SiteRoute;
 import org.cicadahead.site.SiteService;
@@ -11,8 +11,8 @@
 import org.junit.jupiter.api.Test;
 
 /** Which programs go first when an organisation's rate is used up. */
-class ProgramCensusTest {
-    private final ProgramCensus census = new ProgramCensus();
+class ProgramTrackerTest {
+    private final ProgramTracker tracker = new ProgramTracker();
 
     private static AdmittedRequest request(String program, Repetition repetition) {
         CallerRequest caller = new CallerRequest(
@@ -53,29 +53,29 @@
     @Test
     void aProgramIsUnderWayOnceItWasAdmitted() {
         AdmittedRequest turn = request("p", Repetition.STREAM);
-        assertThat(census.standing(turn, 0)).isEqualTo(Standing.BEGINNING);
-        assertThat(census.standing(turn, 100)).isEqualTo(Standing.BEGINNING);
-        census.begun(turn);
-        assertThat(census.standing(turn, 200)).isEqualTo(Standing.UNDER_WAY);
+        assertThat(tracker.priority(turn, 0)).isEqualTo(PriorityClass.NEW);
+        assertThat(tracker.priority(turn, 100)).isEqualTo(PriorityClass.NEW);
+        tracker.begun(turn);
+        assertThat(tracker.priority(turn, 200)).isEqualTo(PriorityClass.RUNNING);
     }
 
     /** Guards against a tool call that is refused before a turn, as its refusal ends the program. */
     @Test
     void callsGoFirst() {
-        assertThat(census.standing(request("p", Repetition.NON_IDEMPOTENT), 0)).isEqualTo(Standing.CALL);
+        assertThat(tracker.priority(request("p", Repetition.NON_IDEMPOTENT), 0)).isEqualTo(PriorityClass.CALL);
     }
 
     /** Guards against a program that loops and takes the rate of others, and against remembering that for ever. */
     @Test
     void aProgramThatLoopsGoesLast() {
         AdmittedRequest turn = request("loop", Repetition.STREAM);
-        census.standing(turn, 0);
-        census.begun(turn);
-        Standing last = null;
+        tracker.priority(turn, 0);
+        tracker.begun(turn);
+        PriorityClass last = null;
         for (int i = 0; i < 60; i++) {
-            last = census.standing(turn, i * 10L);
+            last = tracker.priority(turn, i * 10L);
         }
-        assertThat(last).isEqualTo(Standing.EXCESSIVE);
-        assertThat(census.standing(turn, 20_000)).isEqualTo(Standing.UNDER_WAY);
+        assertThat(last).isEqualTo(PriorityClass.EXCESSIVE);
+        assertThat(tracker.priority(turn, 20_000)).isEqualTo(PriorityClass.RUNNING);
     }
 }
--- a/gateway/src/test/java/org/cicadahead/gateway/RateGateTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RateGateTest.java
@@ -5,10 +5,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.cicadahead.fleet.Allotment;
-import org.cicadahead.fleet.Allotments;
-import org.cicadahead.fleet.AskAllotments;
-import org.cicadahead.fleet.Standing;
+import org.cicadahead.fleet.PriorityClass;
+import org.cicadahead.fleet.QuotaShare;
+import org.cicadahead.fleet.QuotaShares;
+import org.cicadahead.fleet.RequestQuota;
 import org.cicadahead.model.RefusalReason;
 import org.cicadahead.site.SiteOrganisation;
 import org.junit.jupiter.api.Test;
@@ -17,8 +17,8 @@
 class RateGateTest {
     private static final SiteOrganisation LIMITED = new SiteOrganisation("o", List.of(), 10, 10, null);
 
-    private final List<AskAllotments> asks = new ArrayList<>();
-    private final List<CompletableFuture<Allotments>> answers = new ArrayList<>();
+    private final List<RequestQuota> asks = new ArrayList<>();
+    private final List<CompletableFuture<QuotaShares>> answers = new ArrayList<>();
     private final List<GatewayRefusal> decisions = new ArrayList<>();
     private long now = 1_000;
     private final RateGate gate = new RateGate(
@@ -31,23 +31,23 @@
             () -> now);
 
     private void answer(int extra) {
-        answers.get(answers.size() - 1).complete(new Allotments(5_000, List.of(new Allotment("o", 0, 0, 0, extra))));
+        answers.get(answers.size() - 1).complete(new QuotaShares(5_000, List.of(new QuotaShare("o", 0, 0, 0, extra))));
     }
 
-    private void admit(Standing standing) {
-        gate.admit(LIMITED, standing, decisions::add);
+    private void admit(PriorityClass priority) {
+        gate.admit(LIMITED, priority, decisions::add);
     }
 
     /** Guards against the refusal of a request that came after the leader was asked for others. */
     @Test
     void aRequestThatCameDuringAnAskIsAskedForNext() {
-        admit(Standing.CALL);
-        admit(Standing.CALL);
+        admit(PriorityClass.CALL);
+        admit(PriorityClass.CALL);
         now += 5;
         answer(1);
         assertThat(decisions).containsExactly((GatewayRefusal) null);
         assertThat(asks).hasSize(2);
-        assertThat(asks.get(1).needs().get(0).urgent()).containsExactly(Standing.CALL, 1);
+        assertThat(asks.get(1).needs().get(0).urgent()).containsExactly(PriorityClass.CALL, 1);
         now += 5;
         answer(1);
         assertThat(decisions).containsExactly(null, null);
@@ -56,7 +56,7 @@
     /** Guards against a request that waits for a rate which the leader does not have. */
     @Test
     void aRequestBeyondTheRateIsRefusedWithTheAnswer() {
-        admit(Standing.CALL);
+        admit(PriorityClass.CALL);
         now += 5;
         answer(0);
         assertThat(decisions).hasSize(1);
@@ -67,7 +67,7 @@
     /** Guards against a refusal as "over the rate" where only the leader is missing. */
     @Test
     void withoutALeaderTheRefusalSaysSo() {
-        admit(Standing.CALL);
+        admit(PriorityClass.CALL);
         answers.get(0).completeExceptionally(new IllegalStateException("no leader"));
         now += RateGate.WAIT_MILLIS;
         gate.tick();
@@ -77,9 +77,9 @@
     /** Guards against new programs that go before calls of programs under way. */
     @Test
     void callsGoFirst() {
-        admit(Standing.BEGINNING);
+        admit(PriorityClass.NEW);
         List<GatewayRefusal> call = new ArrayList<>();
-        gate.admit(LIMITED, Standing.CALL, call::add);
+        gate.admit(LIMITED, PriorityClass.CALL, call::add);
         now += 5;
         answer(1);
         assertThat(call).containsExactly((GatewayRefusal) null);
@@ -89,12 +89,12 @@
     /** Guards against requests that use up the rate without having run. */
     @Test
     void aTokenThatIsGivenBackServesAnother() {
-        admit(Standing.CALL);
+        admit(PriorityClass.CALL);
         now += 5;
-        answers.get(0).complete(new Allotments(5_000, List.of(new Allotment("o", 0, 1, 1, 0))));
+        answers.get(0).complete(new QuotaShares(5_000, List.of(new QuotaShare("o", 0, 1, 1, 0))));
         assertThat(decisions).containsExactly((GatewayRefusal) null);
         gate.giveBack(LIMITED);
-        admit(Standing.CALL);
+        admit(PriorityClass.CALL);
         assertThat(decisions).containsExactly(null, null);
     }
 }
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -37,7 +37,7 @@
     private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1);
     private final FakeEndpoints endpoints = new FakeEndpoints();
     private final MetricRegistry metrics = new MetricRegistry();
-    private final EndpointDesk desk = new EndpointDesk("z", 1_000);
+    private final EndpointSelector selector = new EndpointSelector("z", 1_000);
     private final FakeExchange caller = new FakeExchange();
     private GatewayContext context;
 
@@ -64,7 +64,7 @@
         RateGate rates = new RateGate(
                 "e", ask -> CompletableFuture.failedFuture(new IllegalStateException("none")), GatewayNode::nowMillis);
         context = new GatewayContext(
-                desk,
+                selector,
                 rates,
                 new TurnStores(FleetMessages.catalog(MessageCatalog.standard()), timer),
                 endpoints,
@@ -87,7 +87,7 @@
         List<EndpointRecord> ready = List.of("a", "b", "c").stream()
                 .map(id -> new EndpointRecord(id, 0, 1, "s", id + ":1", "z", 4, EndpointPhase.READY, 0))
                 .toList();
-        desk.updated(new FleetUpdate(null, ready, null, null, "", null), GatewayNode.nowMillis());
+        selector.updated(new FleetUpdate(null, ready, null, null, "", null), GatewayNode.nowMillis());
     }
 
     @AfterEach
@@ -184,7 +184,7 @@
 
     /** Guards against an answer to another request, and against a success that no endpoint vouches for. */
     @Test
-    void anAnswerWithoutReceiptOrToAnotherAttemptIsNotPassedOn() {
+    void anAnswerWithoutSignatureOrToAnotherAttemptIsNotPassedOn() {
         send("/safe/x");
         endpoints.last().head(200, false, false);
         assertThat(endpoints.sent).hasSize(2);
--- a/gateway/src/test/java/org/cicadahead/group/RestartedReplicaTest.java
+++ b/gateway/src/test/java/org/cicadahead/group/RestartedReplicaTest.java
@@ -15,9 +15,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import org.cicadahead.fleet.DecommissionState;
+import org.cicadahead.fleet.DecommissionStore;
 import org.cicadahead.fleet.FleetMessages;
-import org.cicadahead.fleet.RetireStore;
-import org.cicadahead.fleet.RetirementState;
 import org.cicadahead.protocol.Command;
 import org.cicadahead.protocol.Message;
 import org.cicadahead.protocol.MessageCatalog;
@@ -34,7 +34,7 @@
 /** Guards against a role that runs on without its replica after one write to the disk has failed. */
 class RestartedReplicaTest {
     private static final long LIMIT_SECONDS = 20;
-    private static final RetireStore COMMAND = new RetireStore("store", "127.0.0.1:1");
+    private static final DecommissionStore COMMAND = new DecommissionStore("store", "127.0.0.1:1");
 
     @TempDir
     Path folder;
@@ -53,7 +53,7 @@
                 throw new IOException("no space left");
             }
             applied.add(command);
-            return new RetirementState(RetirementState.Phase.TOO_FEW);
+            return new DecommissionState(DecommissionState.Phase.TOO_FEW);
         }
 
         @Override
--- a/gateway/src/test/java/org/cicadahead/placement/EndpointRosterTest.java
+++ b/gateway/src/test/java/org/cicadahead/placement/EndpointRosterTest.java
@@ -9,17 +9,17 @@
 import org.cicadahead.fleet.EndpointRecord;
 import org.junit.jupiter.api.Test;
 
-/** Reports of endpoints that come late, twice, from others or through several hubs, and the choice among endpoints. */
+/** Heartbeats that come late, twice, from others or through several hubs, and the choice among endpoints. */
 class EndpointRosterTest {
     private final EndpointRoster roster = EndpointRoster.create(1_000);
     private final EndpointChoice choice = EndpointChoice.over(roster);
 
-    private static EndpointRecord report(String id, long born, long sequence, String address, EndpointPhase phase) {
+    private static EndpointRecord heartbeat(String id, long born, long sequence, String address, EndpointPhase phase) {
         return new EndpointRecord(id, born, sequence, "s", address, "z1", 4, phase, 0);
     }
 
     private static EndpointRecord ready(String id, long sequence) {
-        return report(id, 0, sequence, id + ":1", EndpointPhase.READY);
+        return heartbeat(id, 0, sequence, id + ":1", EndpointPhase.READY);
     }
 
     private String choose(String session, Set<String> excluded, long now) {
@@ -27,11 +27,11 @@
         return chosen == null ? null : chosen.record().id();
     }
 
-    /** Guards against a late report that revives an endpoint that leaves. */
+    /** Guards against a late heartbeat that revives an endpoint that leaves. */
     @Test
-    void aLateReportDoesNotEndADrain() {
+    void aLateHeartbeatDoesNotEndADrain() {
         roster.heard(ready("a", 1), 0);
-        roster.heard(report("a", 0, 3, "a:1", EndpointPhase.DRAINING), 10);
+        roster.heard(heartbeat("a", 0, 3, "a:1", EndpointPhase.DRAINING), 10);
         assertThat(roster.heard(ready("a", 2), 20)).isFalse();
         assertThat(roster.heard(ready("a", 4), 30)).isFalse();
         assertThat(choose("", Set.of(), 40)).isNull();
@@ -40,7 +40,7 @@
     /** Guards against requests to an endpoint that has left, told without its birth or address. */
     @Test
     void aDepartureWithoutDetailsHolds() {
-        roster.heard(report("a", 77, 5, "a:1", EndpointPhase.READY), 0);
+        roster.heard(heartbeat("a", 77, 5, "a:1", EndpointPhase.READY), 0);
         assertThat(roster.heard(new EndpointRecord("a", 0, 0, "", "", "", 0, EndpointPhase.GONE, 0), 10))
                 .isTrue();
         assertThat(choose("", Set.of(), 20)).isNull();
@@ -49,29 +49,29 @@
     /** Guards against a new incarnation under an old id that is taken for the one that left. */
     @Test
     void aLaterBirthBeginsAnew() {
-        roster.heard(report("a", 100, 9, "a:1", EndpointPhase.GONE), 0);
-        assertThat(roster.heard(report("a", 200, 1, "a:1", EndpointPhase.READY), 10))
+        roster.heard(heartbeat("a", 100, 9, "a:1", EndpointPhase.GONE), 0);
+        assertThat(roster.heard(heartbeat("a", 200, 1, "a:1", EndpointPhase.READY), 10))
                 .isTrue();
         assertThat(choose("", Set.of(), 20)).isEqualTo("a");
-        assertThat(roster.heard(report("a", 100, 10, "a:1", EndpointPhase.DRAINING), 30))
+        assertThat(roster.heard(heartbeat("a", 100, 10, "a:1", EndpointPhase.DRAINING), 30))
                 .isFalse();
         assertThat(choose("", Set.of(), 40)).isEqualTo("a");
     }
 
-    /** Guards against a delayed report of a crashed endpoint whose address another incarnation has by now. */
+    /** Guards against a delayed heartbeat of a crashed endpoint whose address another incarnation has by now. */
     @Test
     void aYoungerIncarnationTakesOverItsAddress() {
-        roster.heard(report("old", 100, 1, "x:1", EndpointPhase.READY), 0);
-        roster.heard(report("new", 200, 1, "x:1", EndpointPhase.READY), 10);
+        roster.heard(heartbeat("old", 100, 1, "x:1", EndpointPhase.READY), 0);
+        roster.heard(heartbeat("new", 200, 1, "x:1", EndpointPhase.READY), 10);
         assertThat(choose("", Set.of(), 20)).isEqualTo("new");
         assertThat(choose("", Set.of("new"), 20)).isNull();
         EndpointRoster fresh = EndpointRoster.create(1_000);
-        fresh.heard(report("new", 200, 1, "x:1", EndpointPhase.READY), 0);
-        assertThat(fresh.heard(report("old", 100, 2, "x:1", EndpointPhase.READY), 10))
+        fresh.heard(heartbeat("new", 200, 1, "x:1", EndpointPhase.READY), 0);
+        assertThat(fresh.heard(heartbeat("old", 100, 2, "x:1", EndpointPhase.READY), 10))
                 .isFalse();
     }
 
-    /** Guards against requests to silent endpoints while others report, and against refusals while none does. */
+    /** Guards against requests to silent endpoints while others are heard, and against refusals while none is. */
     @Test
     void silentEndpointsAreTheLastChoice() {
         roster.heard(ready("a", 1), 0);
--- a/gateway/src/test/java/org/cicadahead/allotment/AllotmentTableTest.java
+++ b/gateway/src/test/java/org/cicadahead/quota/QuotaTableTest.java
@@ -1,4 +1,4 @@
-package org.cicadahead.allotment;
+package org.cicadahead.quota;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -10,13 +10,13 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
-import org.cicadahead.fleet.Allotment;
-import org.cicadahead.fleet.Standing;
+import org.cicadahead.fleet.PriorityClass;
+import org.cicadahead.fleet.QuotaShare;
 import org.cicadahead.site.SiteOrganisation;
 import org.junit.jupiter.api.Test;
 
 /** What entries admit together against the rate and burst of an organisation. */
-class AllotmentTableTest {
+class QuotaTableTest {
     private static final String NAME = "o";
 
     private static Map<String, SiteOrganisation> limits(double rate, double burst) {
@@ -25,32 +25,32 @@
 
     /** Entries that ask a leader, with answers that get lost. */
     private static final class Fleet {
-        private final Map<String, LocalAllotment> entries = new HashMap<>();
+        private final Map<String, LocalQuota> entries = new HashMap<>();
         private final List<Long> admitted = new ArrayList<>();
-        private AllotmentTable leader;
+        private QuotaTable leader;
         private Map<String, SiteOrganisation> limits;
 
         Fleet(int size, double rate, double burst, long nowMillis) {
             for (int i = 0; i < size; i++) {
-                entries.put("e" + i, LocalAllotment.create(NAME, nowMillis));
+                entries.put("e" + i, LocalQuota.create(NAME, nowMillis));
             }
-            leader = AllotmentTable.create(nowMillis);
+            leader = QuotaTable.create(nowMillis);
             limits = limits(rate, burst);
         }
 
         void request(String entry, long now) {
             entries.get(entry).arrived(now);
-            if (entries.get(entry).tryTake(Standing.CALL, now)) {
+            if (entries.get(entry).tryTake(PriorityClass.CALL, now)) {
                 admitted.add(now);
             }
         }
 
         void ask(String entry, int urgent, boolean answerLost, long now) {
-            LocalAllotment local = entries.get(entry);
-            List<Allotment> shares =
-                    leader.ask(entry, List.of(local.need(Map.of(Standing.CALL, urgent), now)), limits, now);
+            LocalQuota local = entries.get(entry);
+            List<QuotaShare> shares =
+                    leader.ask(entry, List.of(local.need(Map.of(PriorityClass.CALL, urgent), now)), limits, now);
             if (!answerLost) {
-                shares.forEach(share -> local.allot(share, now, AllotmentTable.LEASE_MILLIS, now));
+                shares.forEach(share -> local.grant(share, now, QuotaTable.LEASE_MILLIS, now));
             }
         }
 
@@ -85,7 +85,7 @@
                 fleet.request(entry, now);
             }
             if (random.nextInt(1_500) == 0) {
-                fleet.leader = AllotmentTable.create(now);
+                fleet.leader = QuotaTable.create(now);
             }
         }
         double bound = rate * 5 + rate;
@@ -125,28 +125,29 @@
             fleet.ask("e0", 1, false, now);
         }
         int before = fleet.admitted.size();
-        for (long now = 13_000; now < 13_000 + AllotmentTable.LEASE_MILLIS; now += 50) {
+        for (long now = 13_000; now < 13_000 + QuotaTable.LEASE_MILLIS; now += 50) {
             fleet.request("e0", now);
         }
-        double shared = 40 * AllotmentTable.SHARED_PART * AllotmentTable.LEASE_MILLIS / 1_000;
+        double shared = 40 * QuotaTable.SHARED_PART * QuotaTable.LEASE_MILLIS / 1_000;
         assertThat((double) (fleet.admitted.size() - before)).isAtLeast(shared * 0.9);
-        fleet.request("e0", 13_000 + 2 * AllotmentTable.LEASE_MILLIS);
-        assertThat(fleet.entries.get("e0").tryTake(Standing.CALL, 13_000 + 2 * AllotmentTable.LEASE_MILLIS))
+        fleet.request("e0", 13_000 + 2 * QuotaTable.LEASE_MILLIS);
+        assertThat(fleet.entries.get("e0").tryTake(PriorityClass.CALL, 13_000 + 2 * QuotaTable.LEASE_MILLIS))
                 .isFalse();
     }
 
     /** Guards against new programs that take what programs under way need, when the rate is nearly used up. */
     @Test
     void leavesTheLastRequestsToCalls() {
-        AllotmentTable table = AllotmentTable.create(0);
-        LocalAllotment local = LocalAllotment.create(NAME, 0);
-        Map<Standing, Integer> urgent = Map.of(Standing.CALL, 1, Standing.BEGINNING, 100, Standing.EXCESSIVE, 100);
-        Allotment first = table.ask("e", List.of(local.need(urgent, 10_000)), limits(40, 40), 10_000)
+        QuotaTable table = QuotaTable.create(0);
+        LocalQuota local = LocalQuota.create(NAME, 0);
+        Map<PriorityClass, Integer> urgent =
+                Map.of(PriorityClass.CALL, 1, PriorityClass.NEW, 100, PriorityClass.EXCESSIVE, 100);
+        QuotaShare first = table.ask("e", List.of(local.need(urgent, 10_000)), limits(40, 40), 10_000)
                 .get(0);
         assertThat(first.extra()).isLessThan(40);
-        Map<Standing, Integer> calls = Map.of(Standing.CALL, 100);
-        Allotment second = table.ask("e", List.of(local.need(calls, 10_000)), limits(40, 40), 10_000)
+        Map<PriorityClass, Integer> calls = Map.of(PriorityClass.CALL, 100);
+        QuotaShare second = table.ask("e", List.of(local.need(calls, 10_000)), limits(40, 40), 10_000)
                 .get(0);
-        assertThat(second.extra()).isAtLeast((int) (40 * Standing.BEGINNING.floor()) - 1);
+        assertThat(second.extra()).isAtLeast((int) (40 * PriorityClass.NEW.floor()) - 1);
     }
 }
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCaller.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCaller.java
@@ -62,7 +62,7 @@
             judge.served();
             byte[] prompt = (history + input).getBytes(StandardCharsets.UTF_8);
             if (!answer.sealed()) {
-                judge.violation("a success without a receipt: " + attempt);
+                judge.violation("a success without a signature: " + attempt);
             }
             if (!answer.body().contains("data: " + SoakEndpoint.checksum(prompt) + "\n")
                     || !answer.body().endsWith("data: end-" + attempt + "\n\n")) {
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCommand.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCommand.java
@@ -22,7 +22,7 @@
 public final class SoakCommand implements Callable<Integer> {
     private static final int CALLERS = 6;
     private static final int ENDPOINTS = 3;
-    private static final long REPORT_MILLIS = 500;
+    private static final long HEARTBEAT_MILLIS = 500;
     private static final long CHANGE_MILLIS = 1_500;
     private static final long START_LIMIT_MILLIS = 30_000;
     private static final long RECOVER_LIMIT_MILLIS = 15_000;
@@ -104,21 +104,21 @@
 
     private void begin(SoakOperator operator, List<SoakEndpoint> endpoints) throws InterruptedException {
         await("the first configuration", START_LIMIT_MILLIS, operator, List.of(), operator::change);
-        endpoints.forEach(operator::report);
+        endpoints.forEach(operator::heartbeat);
     }
 
-    /** Changes the configuration, reads it and reports the endpoints until a condition holds. */
+    /** Changes the configuration, reads it and sends heartbeats of the endpoints until a condition holds. */
     private static void operate(SoakOperator operator, List<SoakEndpoint> endpoints, BooleanSupplier ended)
             throws InterruptedException {
         long changeDue = now();
         while (!ended.getAsBoolean()) {
-            endpoints.forEach(operator::report);
+            endpoints.forEach(operator::heartbeat);
             operator.read();
             if (now() >= changeDue) {
                 operator.change();
                 changeDue = now() + CHANGE_MILLIS;
             }
-            Thread.sleep(REPORT_MILLIS);
+            Thread.sleep(HEARTBEAT_MILLIS);
         }
     }
 
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakEndpoint.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakEndpoint.java
@@ -68,7 +68,7 @@
         return id;
     }
 
-    String report(long sequence) {
+    String heartbeat(long sequence) {
         return "{\"service\":\"soak\",\"address\":\"127.0.0.1:" + link.port() + "\",\"zone\":\"z\",\"version\":\"v\","
                 + "\"slots\":16,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":" + sequence + "}";
     }
@@ -109,7 +109,7 @@
                 judge.violation("an endpoint saw a key: " + attempt);
             }
             response.setStatus(OK);
-            response.getHeaders().put(WireNames.RECEIPT, "seal-" + attempt);
+            response.getHeaders().put(WireNames.SIGNATURE, "seal-" + attempt);
             response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
             String[] data = events(body.toByteArray(), attempt).split("\n");
             String text = "id: 1\ndata: " + data[0] + "\n\nid: 2\ndata: " + data[1] + "\n\n";
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakHttp.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakHttp.java
@@ -52,7 +52,7 @@
             return new Answer(
                     answer.getStatus(),
                     answer.getContentAsString(),
-                    answer.getHeaders().contains(WireNames.RECEIPT));
+                    answer.getHeaders().contains(WireNames.SIGNATURE));
         } catch (ExecutionException | TimeoutException e) {
             return new Answer(0, String.valueOf(e.getMessage()), false);
         } catch (InterruptedException e) {
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakOperator.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakOperator.java
@@ -5,7 +5,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** The operator and the reports of the endpoints. Used by one thread. */
+/** The operator and the heartbeats of the endpoints. Used by one thread. */
 final class SoakOperator {
     private static final int OK = 200;
     private static final Pattern VERSION = Pattern.compile("\\{\"version\":(\\d+),");
@@ -50,9 +50,9 @@
         return true;
     }
 
-    /** Reports an endpoint to a hub; returns whether it was acknowledged. */
-    boolean report(SoakEndpoint endpoint) {
-        return http.call("PUT", hub(), "/-/instances/" + endpoint.id(), Map.of(), endpoint.report(++sequence))
+    /** Sends a heartbeat of an endpoint to a hub; returns whether it was acknowledged. */
+    boolean heartbeat(SoakEndpoint endpoint) {
+        return http.call("PUT", hub(), "/-/instances/" + endpoint.id(), Map.of(), endpoint.heartbeat(++sequence))
                         .status()
                 == OK;
     }
