Renew shares once a second, tell entries no replayed configurations, count a new leader's reserve from its beginning

After the loss hubs told entries 20 older versions of the configuration while they replayed their logs, and 77 requests within their rates were refused in half a second, as the leader's reserve began at nothing with its first ask. Ruled out: missing heartbeats (the roster was there when entries began to serve). Tests that failed first: RateGateTest (2), HubNodeTest (3), QuotaTableTest.

--- a/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
@@ -32,6 +32,8 @@
     /** How long a request may wait for a share, in milliseconds; an answer of the leader takes a few. */
     static final long WAIT_MILLIS = 150;
 
+    /** A time before any other, in milliseconds. */
+    private static final long NEVER = Long.MIN_VALUE / 2;
     /** Below the number of any waiter. */
     private static final long NOT_ASKED = 0;
 
@@ -41,8 +43,8 @@
     private final HubLeader leader;
     private final LongSupplier clock;
     private final Map<String, Shares> organisations = new HashMap<>();
-    private long askedMillis = Long.MIN_VALUE / 2;
-    private long renewedMillis = Long.MIN_VALUE / 2;
+    private long askedMillis = NEVER;
+    private long renewedMillis = NEVER;
     private boolean asking;
     private boolean siteChanged;
     private long lastWaiter;
@@ -162,15 +164,31 @@
             }
             asking = true;
             asked = lastWaiter;
-            siteChanged = false;
             askedMillis = now;
-            List<QuotaNeed> needs = new ArrayList<>();
-            organisations.values().forEach(shares -> needs.add(shares.quota.need(urgent(shares), now)));
-            ask = new RequestQuota(entry, needs);
+            ask = new RequestQuota(entry, needs(now));
         }
         leader.ask(ask).whenComplete((reply, failure) -> answered(reply, failure, now, asked));
     }
 
+    /**
+     * Returns the lines of an ask: all organisations when shares are to be renewed, otherwise only those that have
+     * requests waiting, as an ask of all with each waiting request would fill links and the leader's processor.
+     */
+    private List<QuotaNeed> needs(long now) {
+        boolean all = siteChanged || now - renewedMillis >= RENEW_MILLIS;
+        if (all) {
+            siteChanged = false;
+            renewedMillis = now;
+        }
+        List<QuotaNeed> needs = new ArrayList<>();
+        organisations.values().forEach(shares -> {
+            if (all || !shares.waiters.isEmpty()) {
+                needs.add(shares.quota.need(urgent(shares), now));
+            }
+        });
+        return needs;
+    }
+
     private void answered(QuotaShares reply, Throwable failure, long sentMillis, long askedWaiter) {
         long now = clock.getAsLong();
         List<Decided> decided = new ArrayList<>();
@@ -179,6 +197,7 @@
             if (failure != null) {
                 LOG.debugf("gateway: No shares of rates: %s", failure.getMessage());
                 organisations.values().forEach(shares -> shares.leaderMissing = true);
+                renewedMillis = NEVER;
             } else {
                 for (QuotaShare share : reply.shares()) {
                     Shares shares = organisations.get(share.organisation());
--- a/gateway/src/main/java/org/cicadahead/hub/HubConfig.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubConfig.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Objects;
+import org.cicadahead.quota.QuotaTolerance;
 
 /**
  * Settings of a hub. Immutable.
@@ -15,6 +16,7 @@
  * @param bootstrap whether the seeds found the group
  * @param faultsTolerated how many hubs may be lost at once
  * @param heartbeatIntervalMillis how often an endpoint sends a heartbeat, in milliseconds
+ * @param quotaTolerance how far above their rates organisations may be served
  */
 public record HubConfig(
         String name,
@@ -24,7 +26,8 @@
         Path dataFolder,
         boolean bootstrap,
         int faultsTolerated,
-        long heartbeatIntervalMillis) {
+        long heartbeatIntervalMillis,
+        QuotaTolerance quotaTolerance) {
 
     /**
      * Checks the settings.
@@ -36,6 +39,7 @@
         Objects.requireNonNull(zone, "The zone must not be null");
         Objects.requireNonNull(address, "The address must not be null");
         Objects.requireNonNull(dataFolder, "The data folder must not be null");
+        Objects.requireNonNull(quotaTolerance, "The tolerance must not be null");
         seeds = List.copyOf(seeds);
     }
 }
--- a/gateway/src/main/java/org/cicadahead/hub/HubNode.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubNode.java
@@ -79,12 +79,13 @@
     private HubNode(HubConfig config) {
         this.config = config;
         DaemonPlace self = new DaemonPlace(config.name(), FleetRole.HUB, config.zone(), config.address());
-        this.watchers = new Watchers(self, EndpointRoster.create(config.heartbeatIntervalMillis()));
+        this.watchers = new Watchers(self, EndpointRoster.create(config.heartbeatIntervalMillis()), timer);
         this.hubs = ControlClient.to(addresses(config.seeds()), catalog);
         this.service = new HubService(
                 watchers,
                 this::storeMembers,
                 ReplicationConfig.votersFor(config.faultsTolerated()),
+                config.quotaTolerance(),
                 ReplicatedNode::monotonicMillis);
         this.replica = RestartedReplica.of("hub", this::startReplica);
     }
--- a/gateway/src/main/java/org/cicadahead/hub/HubService.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubService.java
@@ -18,6 +18,7 @@
 import org.cicadahead.protocol.Message;
 import org.cicadahead.protocol.NotLeader;
 import org.cicadahead.quota.QuotaTable;
+import org.cicadahead.quota.QuotaTolerance;
 import org.cicadahead.replication.ReplicatedNode;
 import org.cicadahead.site.SiteConfiguration;
 import org.cicadahead.site.SiteOrganisation;
@@ -37,6 +38,7 @@
     private final StoreGroup stores;
     private final LongSupplier clock;
     private final int storesNeeded;
+    private final QuotaTolerance quotaTolerance;
     private final Object quotaLock = new Object();
     private volatile ReplicatedNode log;
     private volatile SiteStateMachine machine;
@@ -45,10 +47,12 @@
     private SiteConfiguration limitsOf;
     private Map<String, SiteOrganisation> limits = Map.of();
 
-    HubService(Watchers watchers, StoreGroup stores, int storesNeeded, LongSupplier clock) {
+    HubService(
+            Watchers watchers, StoreGroup stores, int storesNeeded, QuotaTolerance quotaTolerance, LongSupplier clock) {
         this.watchers = watchers;
         this.stores = stores;
         this.storesNeeded = storesNeeded;
+        this.quotaTolerance = quotaTolerance;
         this.clock = clock;
     }
 
@@ -133,7 +137,7 @@
         synchronized (quotaLock) {
             if (quotaTerm != log.term()) {
                 quotaTerm = log.term();
-                quotas = QuotaTable.create(now);
+                quotas = QuotaTable.create(log.leadingSinceMillis(), quotaTolerance);
             }
             reply = new QuotaShares(QuotaTable.LEASE_MILLIS, quotas.ask(ask.entry(), ask.needs(), limits(), now));
         }
--- a/gateway/src/main/java/org/cicadahead/hub/SiteStateMachine.java
+++ b/gateway/src/main/java/org/cicadahead/hub/SiteStateMachine.java
@@ -20,6 +20,7 @@
 final class SiteStateMachine implements StateMachine {
     private final Consumer<SiteState> changed;
     private volatile SiteState state = SiteState.EMPTY;
+    private boolean caughtUp;
 
     SiteStateMachine(Consumer<SiteState> changed) {
         this.changed = changed;
@@ -48,6 +49,12 @@
                 "entry " + index + " holds the unexpected " + command.getClass().getSimpleName());
     }
 
+    @Override
+    public void caughtUp() {
+        caughtUp = true;
+        changed.accept(state);
+    }
+
     @Override
     public StateSnapshot prepareSnapshot() {
         return new Snapshot(state);
@@ -65,7 +72,9 @@
     private void replace(SiteState next) {
         if (next != state) {
             state = next;
-            changed.accept(next);
+            if (caughtUp) {
+                changed.accept(next);
+            }
         }
     }
 
--- a/gateway/src/main/java/org/cicadahead/hub/Watchers.java
+++ b/gateway/src/main/java/org/cicadahead/hub/Watchers.java
@@ -6,6 +6,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.cicadahead.fleet.DaemonPlace;
 import org.cicadahead.fleet.EndpointRecord;
 import org.cicadahead.fleet.FleetRole;
@@ -24,17 +27,26 @@
     /** A watcher with more bytes unread than this is dropped, so that it does not fill the memory; it comes again. */
     private static final long MAX_QUEUED_BYTES = 4L * 1024 * 1024;
 
+    /**
+     * Changes of the daemons are told together after this time, in milliseconds: when all start at once, each is one
+     * of as many changes as there are daemons, and each is told to all.
+     */
+    private static final long GATHER_MILLIS = 60;
+
     private static final Logger LOG = Logger.getLogger("cicadahead.hub");
 
     private final DaemonPlace self;
     private final EndpointRoster roster;
+    private final ScheduledExecutorService timer;
     private final Map<Responder, DaemonPlace> watchers = new LinkedHashMap<>();
     private final Set<String> alive = new TreeSet<>();
     private SiteState state = SiteState.EMPTY;
+    private boolean gathering;
 
-    Watchers(DaemonPlace self, EndpointRoster roster) {
+    Watchers(DaemonPlace self, EndpointRoster roster, ScheduledExecutorService timer) {
         this.self = self;
         this.roster = roster;
+        this.timer = timer;
     }
 
     /** Begins to tell a daemon. */
@@ -50,7 +62,7 @@
                     state.storeFounder(),
                     List.copyOf(state.decommissioned().values()));
             responder.part(daemon.role() == FleetRole.ENTRY ? whole : whole.withoutSite());
-            tellDaemons();
+            daemonsChanged();
         }
         LOG.infof("hub: %s %s watches", daemon.role(), daemon.name());
         responder.onCancel(() -> remove(responder));
@@ -114,11 +126,24 @@
                 return;
             }
             LOG.infof("hub: %s %s does not watch any more", gone.role(), gone.name());
-            tellDaemons();
+            daemonsChanged();
+        }
+    }
+
+    private void daemonsChanged() {
+        if (gathering) {
+            return;
+        }
+        try {
+            timer.schedule(this::tellDaemons, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+            gathering = true;
+        } catch (RejectedExecutionException e) {
+            LOG.debugf("hub: Nobody is told of daemons, as this hub closes: %s", e.getMessage());
         }
     }
 
-    private void tellDaemons() {
+    private synchronized void tellDaemons() {
+        gathering = false;
         tell(FleetUpdate.ofDaemons(daemons()));
     }
 
--- a/gateway/src/main/java/org/cicadahead/quota/OrganisationShares.java
+++ b/gateway/src/main/java/org/cicadahead/quota/OrganisationShares.java
@@ -38,7 +38,8 @@
         private long expiresMillis;
     }
 
-    OrganisationShares(long beganMillis) {
+    OrganisationShares(long beganMillis, double reserveTokens) {
+        this.reserveTokens = reserveTokens;
         this.adoptUntilMillis = beganMillis + QuotaTable.LEASE_MILLIS;
         this.refilledMillis = beganMillis;
     }
--- a/gateway/src/main/java/org/cicadahead/quota/QuotaTable.java
+++ b/gateway/src/main/java/org/cicadahead/quota/QuotaTable.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import org.cicadahead.fleet.QuotaNeed;
 import org.cicadahead.fleet.QuotaShare;
 import org.cicadahead.site.SiteOrganisation;
@@ -13,7 +14,7 @@
  *
  * <p>At each moment the shares under a lease add up to at most {@link #SHARED_PART} of rate and burst, the rest fills a
  * bucket for requests that come where there is no share. So what all entries together admit in any window is at most
- * the burst and the rate. The first use is {@link #create(long)}, when a leader begins.
+ * the burst and the rate. The first use is {@link #create(long, QuotaTolerance)}, when a leader begins.
  */
 public final class QuotaTable {
     /** How long a share holds, in milliseconds: long enough to outlast a change of the leader and one lost answer. */
@@ -22,11 +23,19 @@
     /** The part of rate and burst that is shared under leases; the rest serves uneven and new demand. */
     static final double SHARED_PART = 0.5;
 
+    /**
+     * The part of the tolerance that a leader has from the beginning: two changes of the leader in one window stay
+     * within it, and the rest is left for requests that arrive later than they were admitted.
+     */
+    static final double FIRST_PART = 0.35;
+
     private final long beganMillis;
+    private final QuotaTolerance tolerance;
     private final Map<String, OrganisationShares> organisations = new HashMap<>();
 
-    private QuotaTable(long beganMillis) {
+    private QuotaTable(long beganMillis, QuotaTolerance tolerance) {
         this.beganMillis = beganMillis;
+        this.tolerance = tolerance;
     }
 
     /**
@@ -34,10 +43,11 @@
      *
      * @param nowMillis the monotonic time at which it began, in milliseconds; shares of the leader before it may hold
      *     for {@link #LEASE_MILLIS} more
+     * @param tolerance how far above their rates organisations may be served; a part of it is there from the beginning
      * @return the table
      */
-    public static QuotaTable create(long nowMillis) {
-        return new QuotaTable(nowMillis);
+    public static QuotaTable create(long nowMillis, QuotaTolerance tolerance) {
+        return new QuotaTable(nowMillis, Objects.requireNonNull(tolerance, "The tolerance must not be null"));
     }
 
     /**
@@ -57,10 +67,15 @@
             SiteOrganisation organisation = limits.get(need.organisation());
             if (organisation != null && organisation.limited()) {
                 shares.add(organisations
-                        .computeIfAbsent(need.organisation(), name -> new OrganisationShares(beganMillis))
+                        .computeIfAbsent(
+                                need.organisation(), name -> new OrganisationShares(beganMillis, first(organisation)))
                         .ask(entry, need, organisation, nowMillis));
             }
         }
         return shares;
     }
+
+    private double first(SiteOrganisation organisation) {
+        return FIRST_PART * tolerance.requests(organisation.ratePerSecond(), organisation.burst());
+    }
 }
--- a/gateway/src/test/java/org/cicadahead/gateway/RateGateTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RateGateTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.cicadahead.fleet.PriorityClass;
+import org.cicadahead.fleet.QuotaNeed;
 import org.cicadahead.fleet.QuotaShare;
 import org.cicadahead.fleet.QuotaShares;
 import org.cicadahead.fleet.RequestQuota;
@@ -97,4 +98,45 @@
         admit(PriorityClass.CALL);
         assertThat(decisions).containsExactly(null, null);
     }
+
+    /** Guards against an ask at each tick, which with many organisations fills links and the leader's processor. */
+    @Test
+    void sharesAreRenewedOnceASecond() {
+        admit(PriorityClass.CALL);
+        now += 5;
+        answers.get(0).complete(new QuotaShares(5_000, List.of(new QuotaShare("o", 5, 5, 5, 0))));
+        int before = asks.size();
+        for (int tick = 0; tick < 40; tick++) {
+            now += 50;
+            gate.tick();
+            answers.get(answers.size() - 1).complete(new QuotaShares(5_000, List.of()));
+        }
+        assertThat(asks.size() - before).isAtMost(3);
+        assertThat(asks.size() - before).isAtLeast(2);
+    }
+
+    /** Guards against an ask that names all organisations for the sake of one waiting request. */
+    @Test
+    void anAskForWaitingRequestsNamesOnlyTheirOrganisations() {
+        admit(PriorityClass.CALL);
+        now += 5;
+        answers.get(0).complete(new QuotaShares(5_000, List.of(new QuotaShare("o", 5, 5, 5, 0))));
+        now += 50;
+        SiteOrganisation other = new SiteOrganisation("p", List.of(), 10, 10, null);
+        gate.admit(other, PriorityClass.CALL, decisions::add);
+        RequestQuota last = asks.get(asks.size() - 1);
+        assertThat(last.needs().stream().map(QuotaNeed::organisation).toList()).containsExactly("p");
+    }
+
+    /** Guards against a renewal that is lost with its answer and comes only a second later. */
+    @Test
+    void aRenewalThatFailedIsRepeatedAtOnce() {
+        admit(PriorityClass.CALL);
+        answers.get(0).completeExceptionally(new IllegalStateException("no leader"));
+        int before = asks.size();
+        now += 50;
+        gate.tick();
+        assertThat(asks.size()).isEqualTo(before + 1);
+        assertThat(asks.get(asks.size() - 1).needs()).hasSize(1);
+    }
 }
--- /dev/null
+++ b/gateway/src/test/java/org/cicadahead/hub/HubNodeTest.java
@@ -0,0 +1,155 @@
+package org.cicadahead.hub;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.cicadahead.fleet.DaemonPlace;
+import org.cicadahead.fleet.FleetMessages;
+import org.cicadahead.fleet.FleetRole;
+import org.cicadahead.fleet.FleetUpdate;
+import org.cicadahead.fleet.PriorityClass;
+import org.cicadahead.fleet.QuotaNeed;
+import org.cicadahead.fleet.QuotaShares;
+import org.cicadahead.fleet.RequestQuota;
+import org.cicadahead.fleet.SiteStored;
+import org.cicadahead.protocol.MessageCatalog;
+import org.cicadahead.quota.QuotaTolerance;
+import org.cicadahead.replication.ReplicatedNode;
+import org.cicadahead.site.CallerLimits;
+import org.cicadahead.site.SiteConfiguration;
+import org.cicadahead.site.SiteOrganisation;
+import org.cicadahead.watch.FleetWatch;
+import org.cicadahead.wire.Addresses;
+import org.cicadahead.wire.ControlClient;
+import org.cicadahead.wire.TestPorts;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What entries learn from a hub, on a group of one. */
+class HubNodeTest {
+    private static final long LIMIT_SECONDS = 20;
+    private static final long CALL_MILLIS = 5_000;
+    private static final double RATE = 1_000;
+
+    @TempDir
+    Path folder;
+
+    private final MessageCatalog catalog = ReplicatedNode.catalog(FleetMessages.catalog(MessageCatalog.standard()));
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private final List<FleetWatch> watches = new ArrayList<>();
+    private String address;
+    private HubNode hub;
+
+    @BeforeEach
+    void begin() throws Exception {
+        address = "127.0.0.1:" + TestPorts.free();
+        hub = start(true);
+    }
+
+    @AfterEach
+    void end() {
+        watches.forEach(FleetWatch::close);
+        hub.shutdown(0);
+        timer.shutdownNow();
+    }
+
+    private HubNode start(boolean bootstrap) throws Exception {
+        return HubNode.start(
+                new HubConfig("hub", "z", address, List.of(address), folder, bootstrap, 0, 1_000, QuotaTolerance.NONE),
+                new MetricRegistry());
+    }
+
+    private List<FleetUpdate> watch(String name) {
+        List<FleetUpdate> updates = new CopyOnWriteArrayList<>();
+        watches.add(FleetWatch.start(
+                new DaemonPlace(name, FleetRole.ENTRY, "z", ""), List.of(address), catalog, timer, updates::add));
+        return updates;
+    }
+
+    private static SiteConfiguration site(long version) {
+        return new SiteConfiguration(
+                version,
+                List.of(),
+                List.of(),
+                List.of(new SiteOrganisation("o", List.of(), RATE, RATE, null)),
+                CallerLimits.STANDARD);
+    }
+
+    private void submit(long version) throws Exception {
+        await(() -> {
+            SiteStored stored = hub.submit(site(version), new byte[] {1})
+                    .exceptionally(failure -> null)
+                    .join();
+            return stored != null;
+        });
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).isLessThan(deadline);
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+        }
+    }
+
+    private static List<Long> versions(List<FleetUpdate> updates) {
+        return updates.stream()
+                .filter(update -> update.site() != null)
+                .map(update -> update.site().version())
+                .distinct()
+                .toList();
+    }
+
+    /** Guards against entries that serve by old versions while a hub that was started again replays its log. */
+    @Test
+    void aRestartedHubTellsNoVersionThatIsOutOfDate() throws Exception {
+        for (long version = 1; version <= 20; version++) {
+            submit(version);
+        }
+        hub.shutdown(0);
+        hub = start(false);
+        List<FleetUpdate> updates = watch("e");
+        await(() -> versions(updates).contains(20L));
+        assertThat(versions(updates)).containsExactly(20L);
+    }
+
+    /** Guards against refusals within the rate because the leader counts from the first ask on. */
+    @Test
+    void theFirstAskFindsWhatTheRateHasAddedSinceTheLeaderBegan() throws Exception {
+        submit(1);
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50));
+        try (ControlClient client = ControlClient.to(List.of(Addresses.parse(address)), catalog)) {
+            QuotaNeed need = new QuotaNeed("o", 5, 0, 0, 0, Map.of(PriorityClass.CALL, 5));
+            QuotaShares shares = client.call(new RequestQuota("e", List.of(need)), QuotaShares.class, CALL_MILLIS)
+                    .get(LIMIT_SECONDS, TimeUnit.SECONDS);
+            assertThat(shares.shares().get(0).extra()).isEqualTo(5);
+        }
+    }
+
+    /** Guards against a list of all daemons to all daemons for each one that comes, which grows with their square. */
+    @Test
+    void daemonsThatComeTogetherAreToldTogether() {
+        int others = 40;
+        List<FleetUpdate> updates = watch("e");
+        await(() -> !updates.isEmpty());
+        for (int i = 0; i < others; i++) {
+            watch("other-" + i);
+        }
+        await(() -> updates.stream()
+                .anyMatch(update -> update.daemons() != null && update.daemons().size() >= others + 2));
+        long told = updates.stream().filter(update -> update.daemons() != null).count();
+        assertThat(told).isAtMost(others / 2);
+    }
+}
--- a/gateway/src/test/java/org/cicadahead/quota/QuotaTableTest.java
+++ b/gateway/src/test/java/org/cicadahead/quota/QuotaTableTest.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.cicadahead.fleet.PriorityClass;
+import org.cicadahead.fleet.QuotaNeed;
 import org.cicadahead.fleet.QuotaShare;
 import org.cicadahead.site.SiteOrganisation;
 import org.junit.jupiter.api.Test;
@@ -34,7 +35,7 @@
             for (int i = 0; i < size; i++) {
                 entries.put("e" + i, LocalQuota.create(NAME, nowMillis));
             }
-            leader = QuotaTable.create(nowMillis);
+            leader = QuotaTable.create(nowMillis, QuotaTolerance.NONE);
             limits = limits(rate, burst);
         }
 
@@ -85,7 +86,7 @@
                 fleet.request(entry, now);
             }
             if (random.nextInt(1_500) == 0) {
-                fleet.leader = QuotaTable.create(now);
+                fleet.leader = QuotaTable.create(now, QuotaTolerance.NONE);
             }
         }
         double bound = rate * 5 + rate;
@@ -138,7 +139,7 @@
     /** Guards against new programs that take what programs under way need, when the rate is nearly used up. */
     @Test
     void leavesTheLastRequestsToCalls() {
-        QuotaTable table = QuotaTable.create(0);
+        QuotaTable table = QuotaTable.create(0, QuotaTolerance.NONE);
         LocalQuota local = LocalQuota.create(NAME, 0);
         Map<PriorityClass, Integer> urgent =
                 Map.of(PriorityClass.CALL, 1, PriorityClass.NEW, 100, PriorityClass.EXCESSIVE, 100);
@@ -150,4 +151,35 @@
                 .get(0);
         assertThat(second.extra()).isAtLeast((int) (40 * PriorityClass.NEW.floor()) - 1);
     }
+
+    /** Guards against refusals of all programs for the time that the bucket of a new leader takes to fill. */
+    @Test
+    void aNewLeaderServesAPartOfTheToleranceAtOnce() {
+        QuotaTolerance tolerance = new QuotaTolerance(0.1, 5, 20);
+        QuotaTable table = QuotaTable.create(0, tolerance);
+        QuotaNeed need = LocalQuota.create(NAME, 0).need(Map.of(PriorityClass.CALL, 100), 0);
+        int extra = table.ask("e", List.of(need), limits(30, 30), 0).get(0).extra();
+        assertThat(extra).isEqualTo((int) (QuotaTable.FIRST_PART * tolerance.requests(30, 30)));
+    }
+
+    /** Guards against more than the tolerance over two changes of the leader in one window. */
+    @Property(tries = 200)
+    void changesOfTheLeaderStayWithinTheTolerance(@ForAll long seed, @ForAll @IntRange(min = 2, max = 60) int rate) {
+        QuotaTolerance tolerance = new QuotaTolerance(0.1, 5, 20);
+        Random random = new Random(seed);
+        Fleet fleet = new Fleet(3, rate, rate, 0);
+        long now = 0;
+        long next = 2_000;
+        for (int step = 0; step < 6_000; step++) {
+            now += random.nextInt(6);
+            String entry = "e" + random.nextInt(3);
+            fleet.request(entry, now);
+            fleet.ask(entry, random.nextInt(5), random.nextInt(5) == 0, now);
+            if (now > next) {
+                next = now + 2_500 + random.nextInt(5_000);
+                fleet.leader = QuotaTable.create(now, tolerance);
+            }
+        }
+        assertThat((double) fleet.mostIn(5_000)).isAtMost(rate * 5 + rate + tolerance.requests(rate, rate));
+    }
 }
--- a/raft/src/main/java/org/cicadahead/replication/Applier.java
+++ b/raft/src/main/java/org/cicadahead/replication/Applier.java
@@ -30,12 +30,16 @@
     private long bytesSinceSnapshot;
     private volatile long applied;
     private volatile boolean snapshotUnderWay;
+    private boolean caughtUp;
 
     /** Is told what is to be done; must not block. */
     interface Listener {
         void snapshotPrepared(long index, StateSnapshot snapshot);
 
         void failed(Exception cause);
+
+        /** Returns the newest term that the replica knows. */
+        long term();
     }
 
     /** Entries to apply, or a stored snapshot to restore. */
@@ -99,6 +103,7 @@
                     for (LogEntry entry : task.entries) {
                         applyEntry(entry);
                     }
+                    noteCaughtUp(task.entries);
                     prepareSnapshot();
                 }
             }
@@ -132,6 +137,14 @@
         pending.applied(entry, reply);
     }
 
+    /** An entry of the newest term follows all that was committed in earlier ones. */
+    private void noteCaughtUp(List<LogEntry> entries) {
+        if (!caughtUp && !entries.isEmpty() && entries.get(entries.size() - 1).term() == listener.term()) {
+            caughtUp = true;
+            machine.caughtUp();
+        }
+    }
+
     private Command decode(LogEntry entry) throws WireException {
         Class<? extends Message> type = catalog.type(entry.type());
         if (type == null || !Command.class.isAssignableFrom(type)) {
--- a/raft/src/main/java/org/cicadahead/replication/ConsensusLoop.java
+++ b/raft/src/main/java/org/cicadahead/replication/ConsensusLoop.java
@@ -48,6 +48,7 @@
     private volatile Set<String> leaving = Set.of();
     private volatile boolean stopped;
     private long upkeepDue = Long.MIN_VALUE;
+    private long leadingSinceMillis;
     private boolean wasLeader;
 
     /** Takes what consensus asks for; must not block. */
@@ -71,7 +72,8 @@
             long commitIndex,
             long lastIndex,
             long elections,
-            Membership membership) {}
+            Membership membership,
+            long leadingSinceMillis) {}
 
     private record Proposal(Payload payload, CompletableFuture<Message> answer) {}
 
@@ -261,6 +263,8 @@
     void process(Output output) {
         publish();
         if (!wasLeader && status.role() == Consensus.Role.LEADER) {
+            leadingSinceMillis = nowMillis();
+            publish();
             LOG.infof("raft: This replica leads in term %d", status.term());
         }
         if (wasLeader && status.role() != Consensus.Role.LEADER) {
@@ -342,6 +346,7 @@
                 consensus.commitIndex(),
                 consensus.lastIndex(),
                 consensus.elections(),
-                membership);
+                membership,
+                leadingSinceMillis);
     }
 }
--- a/raft/src/main/java/org/cicadahead/replication/ReplicatedNode.java
+++ b/raft/src/main/java/org/cicadahead/replication/ReplicatedNode.java
@@ -221,6 +221,15 @@
         return loop.status().term();
     }
 
+    /**
+     * Returns when this replica began to lead in the present term.
+     *
+     * @return the monotonic time in milliseconds; only the leader knows it
+     */
+    public long leadingSinceMillis() {
+        return loop.status().leadingSinceMillis();
+    }
+
     @Override
     public String leaderAddress() {
         ReplicaId leader = loop.status().leader();
@@ -457,6 +466,11 @@
 
     private final class ApplierListener implements Applier.Listener {
 
+        @Override
+        public long term() {
+            return loop.status().term();
+        }
+
         @Override
         public void snapshotPrepared(long index, StateSnapshot snapshot) {
             loop.post(consensus -> {
--- a/raft/src/main/java/org/cicadahead/replication/StateMachine.java
+++ b/raft/src/main/java/org/cicadahead/replication/StateMachine.java
@@ -25,6 +25,12 @@
      */
     Message apply(long index, long leaderMillis, Command command) throws IOException;
 
+    /**
+     * Takes note that the state is up to date for the first time since the replica started: it holds all that was
+     * committed before the present leader began. Commands that are applied before that may be long out of date.
+     */
+    default void caughtUp() {}
+
     /**
      * Freezes the state for a snapshot. The result is written by another thread while commands go on.
      *
