--- a/core/src/main/java/org/cicadahead/wire/Codec.java
+++ b/core/src/main/java/org/cicadahead/wire/Codec.java
@@ -23,12 +23,16 @@
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
             .defaultPropertyInclusion(NON_NULL)
             .build();
-    private static final ObjectMapper JSON = JsonMapper.builder()
-            .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
-            .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
-            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-            .defaultPropertyInclusion(NON_NULL)
-            .build();
+
+    /** Made with its first use, as daemons that speak no JSON should not wait for it when they start. */
+    private static final class Json {
+        private static final ObjectMapper MAPPER = JsonMapper.builder()
+                .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+                .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+                .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                .defaultPropertyInclusion(NON_NULL)
+                .build();
+    }
 
     private Codec() {}
 
@@ -38,7 +42,7 @@
      * @return the mapper; it must not be reconfigured
      */
     public static ObjectMapper json() {
-        return JSON;
+        return Json.MAPPER;
     }
 
     /**
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
@@ -33,6 +33,8 @@
     private static final long TICK_MILLIS = 50;
     /** How long an ask for shares may take, in milliseconds. */
     private static final long ASK_MILLIS = 600;
+    /** How long one hub may take to answer an ask, in milliseconds: many round trips, and less than an election. */
+    private static final long ASK_ATTEMPT_MILLIS = 120;
     /** How often a shutdown looks whether requests are left, in milliseconds. */
     private static final long DRAIN_POLL_MILLIS = 20;
     /** After SIGTERM requests are served for this time, in milliseconds: two checks of the balancer, a second apart. */
@@ -62,7 +64,7 @@
         this.config = config;
         timer.setRemoveOnCancelPolicy(true);
         selector = new EndpointSelector(config.zone(), config.heartbeatIntervalMillis());
-        hubs = ControlClient.to(config.hubs().stream().map(Addresses::parse).toList(), catalog);
+        hubs = ControlClient.to(config.hubs().stream().map(Addresses::parse).toList(), catalog, ASK_ATTEMPT_MILLIS);
         rates = new RateGate(config.name(), this::ask, GatewayNode::nowMillis);
         stores = new TurnStores(catalog, timer);
         context = new GatewayContext(
--- a/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
@@ -29,11 +29,16 @@
     static final long RENEW_MILLIS = 1_000;
     /** The least time between two asks, in milliseconds: about a round trip. */
     static final long ASK_GAP_MILLIS = 3;
-    /** How long a request may wait for a share, in milliseconds; an answer of the leader takes a few. */
-    static final long WAIT_MILLIS = 150;
+    /**
+     * How long a request may wait for an answer of the leader, in milliseconds: longer than most elections. The leader
+     * answers within a few milliseconds, and a request beyond the rate is refused with its answer.
+     */
+    static final long WAIT_MILLIS = 450;
 
     /** A time before any other, in milliseconds. */
     private static final long NEVER = Long.MIN_VALUE / 2;
+    /** How long a request may wait for its turn at the rate after the leader has answered, in milliseconds. */
+    static final long TURN_MILLIS = 150;
     /** Below the number of any waiter. */
     private static final long NOT_ASKED = 0;
 
@@ -54,7 +59,7 @@
         CompletableFuture<QuotaShares> ask(RequestQuota ask);
     }
 
-    private record Waiter(PriorityClass priority, long number, Consumer<GatewayRefusal> decision, long untilMillis)
+    private record Waiter(PriorityClass priority, long number, Consumer<GatewayRefusal> decision, long arrivedMillis)
             implements Comparable<Waiter> {
         @Override
         public int compareTo(Waiter other) {
@@ -98,7 +103,7 @@
             shares.quota.arrived(now);
             admitted = isNext(shares, priority) && shares.quota.tryTake(priority, now);
             if (!admitted) {
-                shares.waiters.add(new Waiter(priority, ++lastWaiter, decision, now + WAIT_MILLIS));
+                shares.waiters.add(new Waiter(priority, ++lastWaiter, decision, now));
             }
         }
         if (admitted) {
@@ -246,8 +251,9 @@
             long turnMillis = shares.quota.retryAfterMillis(now) * ++position;
             // What was granted for a request went to one that came later and goes before, so it is asked for again.
             boolean answered = waiter.number <= askedWaiter && overtaken-- <= 0;
-            boolean tooFar = answered && now + turnMillis > waiter.untilMillis;
-            if (tooFar || now >= waiter.untilMillis) {
+            long waitedMillis = now - waiter.arrivedMillis;
+            boolean tooFar = answered && waitedMillis + turnMillis > TURN_MILLIS;
+            if (tooFar || waitedMillis >= WAIT_MILLIS) {
                 left.remove();
                 RefusalReason reason = shares.leaderMissing && !answered
                         ? RefusalReason.RATE_GRANT_UNAVAILABLE
--- a/gateway/src/main/java/org/cicadahead/quota/OrganisationShares.java
+++ b/gateway/src/main/java/org/cicadahead/quota/OrganisationShares.java
@@ -19,6 +19,12 @@
     /** A share's burst, in seconds of its rate; larger bursts are served from what is not shared. */
     private static final double BURST_SECONDS = 0.3;
 
+    /**
+     * The least share of a rate, per second. Below it a share is full most of the time and what it spills comes back
+     * too late; its requests are served one by one from the reserve.
+     */
+    private static final double LEAST_RATE = 3;
+
     private static final double UNKNOWN = -1;
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -61,7 +67,7 @@
         double fair = limits.ratePerSecond() * QuotaTable.SHARED_PART * part(share);
         double rate = Math.max(0, Math.min(rateRoom, Math.min(fair, DEMAND_ROOM * share.demand)));
         double burst = Math.max(0, Math.min(burstRoom, Math.max(1, BURST_SECONDS * rate)));
-        if (burst < 1) {
+        if (burst < 1 || rate < LEAST_RATE) {
             rate = 0;
             burst = 0;
         }
--- a/gateway/src/test/java/org/cicadahead/quota/QuotaTableTest.java
+++ b/gateway/src/test/java/org/cicadahead/quota/QuotaTableTest.java
@@ -182,4 +182,41 @@
         }
         assertThat((double) fleet.mostIn(5_000)).isAtMost(rate * 5 + rate + tolerance.requests(rate, rate));
     }
+
+    /**
+     * Guards against a small rate that is split into shares of a fraction of a request at each of many entries, where
+     * one bucket would serve nearly all.
+     */
+    @Property(tries = 40)
+    void manyEntriesServeASmallRateNearlyAsOneBucket(@ForAll long seed) {
+        int entries = 20;
+        double rate = 6;
+        Random random = new Random(seed);
+        Fleet fleet = new Fleet(entries, rate, rate, 0);
+        double bucket = rate;
+        int refused = 0;
+        int refusedByOneBucket = 0;
+        int arrived = 0;
+        for (long now = 10_000; now < 70_000; now += 10) {
+            if (now % 50 == 0) {
+                fleet.ask("e" + now / 50 % entries, 0, false, now);
+            }
+            bucket = Math.min(rate, bucket + rate / 100);
+            if (random.nextDouble() >= 0.045) {
+                continue;
+            }
+            arrived++;
+            String entry = "e" + random.nextInt(entries);
+            int before = fleet.admitted.size();
+            fleet.request(entry, now);
+            if (fleet.admitted.size() == before) {
+                fleet.ask(entry, 1, false, now);
+                fleet.request(entry, now);
+                refused += fleet.admitted.size() == before ? 1 : 0;
+            }
+            refusedByOneBucket += bucket < 1 ? 1 : 0;
+            bucket -= bucket < 1 ? 0 : 1;
+        }
+        assertThat(refused).isAtMost(refusedByOneBucket + arrived / 50);
+    }
 }
