--- a/gateway/src/main/java/org/cicadahead/gateway/Attempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/Attempts.java
@@ -224,7 +224,8 @@
             if (failure == null) {
                 scope.end(head, total);
             } else {
-                scope.refuse(RefusalReason.STORES_UNAVAILABLE);
+                // The turn ran, so that a refusal as "not run" would not be true.
+                scope.refuse(RefusalReason.OUTCOME_UNCONFIRMED);
             }
         });
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayRefusal.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayRefusal.java
@@ -11,6 +11,10 @@
  *     known
  */
 public record GatewayRefusal(RefusalReason reason, long retryAfterMillis) {
+    /** How long an entry that has started is without a configuration, in milliseconds: one connection to a hub. */
+    private static final long SITE_MILLIS = 150;
+    /** How long a group is without a leader, in milliseconds: about an election. */
+    private static final long LEADER_MILLIS = 400;
 
     /**
      * Checks the reason.
@@ -22,12 +26,18 @@
     }
 
     /**
-     * Returns a refusal without a time to come back.
+     * Returns a refusal with the usual time to come back for its reason.
      *
      * @param reason the reason
      * @return the refusal
      */
     public static GatewayRefusal of(RefusalReason reason) {
-        return new GatewayRefusal(reason, 0);
+        return new GatewayRefusal(
+                reason,
+                switch (reason) {
+                    case SITE_UNKNOWN -> SITE_MILLIS;
+                    case STORES_UNAVAILABLE, RATE_GRANT_UNAVAILABLE -> LEADER_MILLIS;
+                    default -> 0;
+                });
     }
 }
--- a/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RateGate.java
@@ -248,21 +248,27 @@
         long position = 0;
         for (var left = shares.waiters.iterator(); left.hasNext(); ) {
             Waiter waiter = left.next();
-            long turnMillis = shares.quota.retryAfterMillis(now) * ++position;
+            long turnMillis = shares.quota.turnMillis(now) * ++position;
             // What was granted for a request went to one that came later and goes before, so it is asked for again.
             boolean answered = waiter.number <= askedWaiter && overtaken-- <= 0;
             long waitedMillis = now - waiter.arrivedMillis;
             boolean tooFar = answered && waitedMillis + turnMillis > TURN_MILLIS;
             if (tooFar || waitedMillis >= WAIT_MILLIS) {
                 left.remove();
-                RefusalReason reason = shares.leaderMissing && !answered
-                        ? RefusalReason.RATE_GRANT_UNAVAILABLE
-                        : RefusalReason.RATE_LIMITED;
-                decided.add(new Decided(waiter.decision, new GatewayRefusal(reason, turnMillis)));
+                decided.add(new Decided(waiter.decision, refusal(shares, answered, position, now)));
             }
         }
     }
 
+    /** Tells when the rate allows another request; without an answer of the leader nobody knows that it is used up. */
+    private static GatewayRefusal refusal(Shares shares, boolean answered, long position, long now) {
+        if (shares.leaderMissing && !answered) {
+            return GatewayRefusal.of(RefusalReason.RATE_GRANT_UNAVAILABLE);
+        }
+        return new GatewayRefusal(
+                RefusalReason.RATE_LIMITED, shares.quota.retryAfterMillis(shares.rate, now) * position);
+    }
+
     private static void tell(List<Decided> decided) {
         decided.forEach(each -> each.decision.accept(each.refusal));
     }
--- a/gateway/src/main/java/org/cicadahead/quota/LocalQuota.java
+++ b/gateway/src/main/java/org/cicadahead/quota/LocalQuota.java
@@ -143,12 +143,12 @@
     }
 
     /**
-     * Returns after what time a request may be admitted.
+     * Returns after what time the share alone admits a request.
      *
      * @param nowMillis monotonic time in milliseconds
-     * @return the time in milliseconds, at least 1
+     * @return the time in milliseconds, at least 1; a second if there is no share
      */
-    public long retryAfterMillis(long nowMillis) {
+    public long turnMillis(long nowMillis) {
         refill(nowMillis);
         if (rate <= 0 || nowMillis >= expiresMillis) {
             return (long) MILLIS_PER_SECOND;
@@ -156,6 +156,17 @@
         return Math.max(1, (long) Math.ceil((1 - tokens) / rate * MILLIS_PER_SECOND));
     }
 
+    /**
+     * Returns after what time another request may be admitted, by the share or by the rate of all entries.
+     *
+     * @param ratePerSecond the rate of the organisation over all entries
+     * @param nowMillis monotonic time in milliseconds
+     * @return the time in milliseconds, at least 1
+     */
+    public long retryAfterMillis(double ratePerSecond, long nowMillis) {
+        return Math.min(turnMillis(nowMillis), (long) Math.ceil(MILLIS_PER_SECOND / Math.max(1, ratePerSecond)));
+    }
+
     /**
      * Returns whether nobody has asked for a while, so that the quota may be forgotten.
      *
--- a/gateway/src/test/java/org/cicadahead/gateway/RateGateTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RateGateTest.java
@@ -139,4 +139,17 @@
         assertThat(asks.size()).isEqualTo(before + 1);
         assertThat(asks.get(asks.size() - 1).needs()).hasSize(1);
     }
+
+    /** Guards against a time to come back that is far from when the rate allows the next request. */
+    @Test
+    void aRefusalTellsWhenTheRateAllowsAnother() {
+        for (int i = 0; i < 3; i++) {
+            admit(PriorityClass.CALL);
+        }
+        now += 5;
+        answer(0);
+        answer(0);
+        assertThat(decisions.stream().map(GatewayRefusal::retryAfterMillis).toList())
+                .containsExactly(100L, 100L, 200L);
+    }
 }
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -1,6 +1,7 @@
 package org.cicadahead.gateway;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.OutputStream;
@@ -15,6 +16,7 @@
 import org.cicadahead.fleet.FleetUpdate;
 import org.cicadahead.model.KeyDigests;
 import org.cicadahead.model.RefusalReason;
+import org.cicadahead.protocol.Done;
 import org.cicadahead.protocol.MessageCatalog;
 import org.cicadahead.site.CallerLimits;
 import org.cicadahead.site.Repetition;
@@ -139,6 +141,28 @@
         send("/safe/x");
         assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.SITE_UNKNOWN);
         assertThat(caller.refusal.reason().status()).isEqualTo(503);
+        assertThat(caller.refusal.retryAfterMillis()).isGreaterThan(0L);
+    }
+
+    /** Guards against "not run" for a stream without events that ran and whose turn could not be kept. */
+    @Test
+    void aTurnThatRanAndWasNotKeptIsNotRefusedAsNotRun() {
+        CallerRequest request = request("attempt", "POST", "/stream/x", "k", 1_000);
+        RequestScope scope = new RequestScope(context, request, caller);
+        TurnEnd lost = new TurnEnd() {
+            @Override
+            public void settle(long tokens) {}
+
+            @Override
+            public CompletableFuture<Done> complete(long tokens, byte[] output) {
+                return CompletableFuture.failedFuture(new IllegalStateException("no store"));
+            }
+        };
+        AdmittedRequest admitted = assertDoesNotThrow(() -> Admission.admit(request, context.site()));
+        Attempts.start(scope, admitted, new byte[0], lost);
+        endpoints.last().head(200, true, false);
+        endpoints.last().listener.end();
+        assertThat(caller.refusal.reason().notRun()).isFalse();
     }
 
     /** Guards against a refusal where another endpoint has room. */
