Let the soak kill whole groups and take the disk of a hub or a store

Ruled out: clocks that step, as no process of the soak can be given another clock without a change to the program. Change: faults of processes are an enum with behaviour; a member that came back empty counts as lost for 4.6 s, in which its group is left alone.

--- /dev/null
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/ProcessFault.java
@@ -0,0 +1,115 @@
+package org.cicadahead.testbed.soak;
+
+import java.util.List;
+import org.cicadahead.testbed.fleet.FleetException;
+
+/** What befalls processes of one group from outside, and how they come back. */
+enum ProcessFault {
+    /** SIGKILL; the files stay. */
+    KILL("kill") {
+        @Override
+        void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
+                throws FleetException, InterruptedException {
+            killAndRestart(members, downMillis, judge);
+        }
+    },
+    /** SIGTERM, then a start. */
+    STOP("stop") {
+        @Override
+        void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
+                throws FleetException, InterruptedException {
+            for (SoakFleet.Member member : members) {
+                member.process.terminate();
+                awaitExit(member, judge);
+            }
+            restart(members, downMillis);
+        }
+    },
+    /** SIGSTOP, then SIGCONT: the process does not know that time has passed. */
+    FREEZE("freeze") {
+        @Override
+        void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
+                throws FleetException, InterruptedException {
+            for (SoakFleet.Member member : members) {
+                member.process.freeze();
+            }
+            Thread.sleep(downMillis);
+            for (SoakFleet.Member member : members) {
+                member.process.thaw();
+            }
+        }
+    },
+    /** All processes of the group are killed at the same moment; their files stay. */
+    KILL_ALL("kill all beside") {
+        @Override
+        void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
+                throws FleetException, InterruptedException {
+            killAndRestart(members, downMillis, judge);
+        }
+    },
+    /** SIGKILL, and the process comes back with an empty data folder. */
+    LOSE_DISK("take the disk of") {
+        @Override
+        void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
+                throws FleetException, InterruptedException {
+            for (SoakFleet.Member member : members) {
+                member.process.kill();
+                awaitExit(member, judge);
+                member.loseDisk();
+            }
+            restart(members, downMillis);
+            // The group bears one lost member at a time, and this one counts as lost until it has caught up.
+            Thread.sleep(CATCH_UP_MILLIS);
+        }
+    };
+
+    /** The faults of processes that keep nothing. */
+    static final List<ProcessFault> WITHOUT_DISK = List.of(KILL, STOP, FREEZE, KILL_ALL);
+
+    /** After this time a member that came back empty counts no more as lost, in milliseconds; from the platform. */
+    private static final long CATCH_UP_MILLIS = 4_600;
+    /** The time from SIGTERM to the end of a process, in milliseconds: the grace and a second. */
+    private static final long STOP_MILLIS = 9_000;
+
+    private final String title;
+
+    ProcessFault(String title) {
+        this.title = title;
+    }
+
+    /** Strikes members of one group, and ends when they run again. */
+    abstract void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
+            throws FleetException, InterruptedException;
+
+    String title() {
+        return title;
+    }
+
+    private static void killAndRestart(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
+            throws FleetException, InterruptedException {
+        for (SoakFleet.Member member : members) {
+            member.process.kill();
+        }
+        for (SoakFleet.Member member : members) {
+            awaitExit(member, judge);
+        }
+        restart(members, downMillis);
+    }
+
+    private static void restart(List<SoakFleet.Member> members, long downMillis)
+            throws FleetException, InterruptedException {
+        Thread.sleep(downMillis);
+        for (SoakFleet.Member member : members) {
+            member.start(false);
+        }
+    }
+
+    private static void awaitExit(SoakFleet.Member member, SoakJudge judge)
+            throws FleetException, InterruptedException {
+        if (!member.process.awaitExit(STOP_MILLIS)) {
+            judge.violation(member.process.name() + " does not stop within its grace");
+            member.process.kill();
+            member.process.awaitExit(STOP_MILLIS);
+        }
+    }
+}
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFaults.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFaults.java
@@ -16,7 +16,6 @@
     private static final int DOWN_MIN_MILLIS = 100;
     private static final int DOWN_MAX_MILLIS = 2_500;
     private static final long DELAY_MILLIS = 150;
-    private static final long STOP_MILLIS = 9_000;
 
     private final List<SoakFleet.Member> members;
     private final List<SoakEndpoint> endpoints;
@@ -56,28 +55,11 @@
     }
 
     private void disturb(SoakFleet.Member member) throws FleetException, InterruptedException {
-        int kind = random.nextInt(3);
+        List<ProcessFault> kinds = member.hasDisk() ? List.of(ProcessFault.values()) : ProcessFault.WITHOUT_DISK;
+        ProcessFault kind = kinds.get(random.nextInt(kinds.size()));
         int down = between(DOWN_MIN_MILLIS, DOWN_MAX_MILLIS);
-        System.out.printf(
-                "soak: %s %s for %d ms%n", List.of("kill", "freeze", "stop").get(kind), member.process.name(), down);
-        if (kind == 1) {
-            member.process.freeze();
-            Thread.sleep(down);
-            member.process.thaw();
-            return;
-        }
-        if (kind == 0) {
-            member.process.kill();
-        } else {
-            member.process.terminate();
-        }
-        if (!member.process.awaitExit(STOP_MILLIS)) {
-            judge.violation(member.process.name() + " does not stop within its grace");
-            member.process.kill();
-            member.process.awaitExit(STOP_MILLIS);
-        }
-        Thread.sleep(down);
-        member.start(false);
+        System.out.printf("soak: %s %s for %d ms%n", kind.title(), member.process.name(), down);
+        kind.strike(kind == ProcessFault.KILL_ALL ? members : List.of(member), down, judge);
     }
 
     private void disturb(FaultyLink link) throws InterruptedException {
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
@@ -5,7 +5,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Stream;
 import org.cicadahead.testbed.fleet.FleetException;
 import org.cicadahead.testbed.fleet.ManagedProcess;
 import org.cicadahead.testbed.fleet.Ports;
@@ -54,6 +56,21 @@
                     folder.resolve(role + number + ".log"));
         }
 
+        boolean hasDisk() {
+            return !role.equals("entry");
+        }
+
+        /** Removes all files that the process has written; it must not run. */
+        void loseDisk() throws FleetException {
+            try (Stream<Path> files = Files.walk(data(this))) {
+                for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(file);
+                }
+            } catch (IOException e) {
+                throw new FleetException("cannot empty " + data(this), e);
+            }
+        }
+
         void start(boolean first) throws FleetException {
             try {
                 Files.writeString(settings, settings(this, first));
@@ -111,6 +128,10 @@
         }
     }
 
+    private Path data(Member member) {
+        return folder.resolve("data-" + member.process.name());
+    }
+
     private String settings(Member member, boolean first) {
         StringBuilder seeds = new StringBuilder();
         for (Member hub : role("hub")) {
@@ -125,7 +146,7 @@
                 + "\",\"listen\":{\"front\":\"" + member.host + ":" + callerPort + "\",\"ready\":\"" + member.host + ":"
                 + readyPort + "\",\"control\":\"" + member.host + ":" + controlPort + "\"},\"port_range\":[" + peerPort
                 + "," + (peerPort + 1) + "],\"seeds\":[" + seeds + "],\"bootstrap\":" + first + ",\"data_dir\":\""
-                + folder.resolve("data-" + member.process.name()) + "\",\"heartbeat_ms\":500,"
+                + data(member) + "\",\"heartbeat_ms\":500,"
                 + "\"fault_tolerance\":{\"machines\":1},\"bounds\":{\"grace_s\":8}}";
     }
 }
