--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -55,6 +55,8 @@
     private EndpointSelector.Placement placement;
     private Runnable cancellation;
     private ScheduledFuture<?> firstByteTimeout;
+    private ScheduledFuture<?> stallTimeout;
+    private StreamProgress progress;
     private long sentMillis;
     private int currentAttempt;
     private int possibleRuns;
@@ -123,7 +125,7 @@
         int attempt = ++currentAttempt;
         sentMillis = now;
         possibleRuns++;
-        relay = ResponseRelay.create(admitted, lastEventId);
+        relay = ResponseRelay.create(admitted, lastEventId, scope.context().responseMemory());
         cancellation = null;
         boolean repeatable = admitted.route().mayRepeat();
         EndpointRequest request = new EndpointRequest(
@@ -168,13 +170,52 @@
         }
     }
 
-    /** Ends the current attempt without a response. */
-    private void abandon(String outcome) {
-        currentAttempt++;
+    /** Measures the progress of a stream from now on. */
+    private void watchProgress(int attempt) {
+        long now = scope.context().nowMillis();
+        progress = StreamProgress.start(admitted.route(), now);
+        scheduleStallCheck(attempt, progress.leftMillis(now));
+    }
+
+    private void scheduleStallCheck(int attempt, long delayMillis) {
+        if (delayMillis < admitted.leftMillis(scope.context().nowMillis())) {
+            stallTimeout =
+                    scope.context().timer().schedule(() -> checkProgress(attempt), delayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void checkProgress(int attempt) {
+        synchronized (scope) {
+            if (attempt != currentAttempt || placement == null || scope.isDone()) {
+                return;
+            }
+            long leftMillis = progress.leftMillis(scope.context().nowMillis());
+            if (leftMillis > 0) {
+                scheduleStallCheck(attempt, leftMillis);
+            } else {
+                retry(RetryReason.STALLED);
+            }
+        }
+    }
+
+    private void cancelTimeouts() {
         if (firstByteTimeout != null) {
             firstByteTimeout.cancel(false);
             firstByteTimeout = null;
         }
+        if (stallTimeout != null) {
+            stallTimeout.cancel(false);
+            stallTimeout = null;
+        }
+    }
+
+    /** Ends the current attempt without a response. */
+    private void abandon(String outcome) {
+        currentAttempt++;
+        cancelTimeouts();
+        if (relay != null) {
+            relay.release();
+        }
         if (placement != null) {
             traceAttempt(outcome, scope.context().nowMillis());
             placement.cancelled();
@@ -215,9 +256,8 @@
     }
 
     private void complete(ResponseHead head) {
-        if (firstByteTimeout != null) {
-            firstByteTimeout.cancel(false);
-        }
+        cancelTimeouts();
+        relay.release();
         long now = scope.context().nowMillis();
         double millis = (double) (now - sentMillis) / Math.max(1, relay.eventCount());
         placement.succeeded(admitted.route().name(), millis, now);
@@ -256,6 +296,8 @@
                             head, possibleRuns < admitted.route().maxAttempts());
                     if (reason != null) {
                         retry(reason);
+                    } else if (relay.isStream()) {
+                        watchProgress(attempt);
                     }
                 }
             }
@@ -270,6 +312,9 @@
                 List<StreamEvent> newEvents = relay.processData(data);
                 lastEventId = relay.lastEventId();
                 for (StreamEvent event : newEvents) {
+                    if (event.data() != null) {
+                        progress.eventReceived(scope.context().nowMillis());
+                    }
                     tokens += relay.tokens(event);
                     scope.chunk(relay.head(), event.bytes());
                 }
--- a/gateway/src/main/java/org/cicadahead/gateway/EventStreamParser.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EventStreamParser.java
@@ -51,6 +51,11 @@
         return event.size() > MAX_EVENT_BYTES;
     }
 
+    /** Returns the memory that the partial event occupies, in bytes. */
+    int bufferedBytes() {
+        return event.size() + line.size();
+    }
+
     private void finishEvent(List<StreamEvent> events) {
         events.add(new StreamEvent(event.toByteArray(), id, data == null ? null : data.toByteArray()));
         event.reset();
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
@@ -18,6 +18,7 @@
     private final ScheduledExecutorService timer;
     private final LongSupplier clock;
     private final int maxActiveRequests;
+    private final ResponseMemory responseMemory;
     private final AtomicInteger activeRequests = new AtomicInteger();
     private volatile SiteIndex site;
 
@@ -30,7 +31,8 @@
             DecisionLog decisions,
             ScheduledExecutorService timer,
             LongSupplier clock,
-            int maxActiveRequests) {
+            int maxActiveRequests,
+            ResponseMemory responseMemory) {
         this.selector = selector;
         this.rateLimiter = rateLimiter;
         this.stores = stores;
@@ -40,6 +42,7 @@
         this.timer = timer;
         this.clock = clock;
         this.maxActiveRequests = maxActiveRequests;
+        this.responseMemory = responseMemory;
     }
 
     EndpointSelector selector() {
@@ -70,6 +73,10 @@
         return counters;
     }
 
+    ResponseMemory responseMemory() {
+        return responseMemory;
+    }
+
     DecisionLog decisions() {
         return decisions;
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
@@ -52,6 +52,12 @@
      */
     private static final long HEAP_BYTES_PER_REQUEST = 256 * 1024;
 
+    /**
+     * The part of the heap that responses may occupy together, as a divisor. Their buffers take up to twice the bytes
+     * that they hold, and are copied once.
+     */
+    private static final int RESPONSE_HEAP_DIVISOR = 8;
+
     private static final Logger LOG = Logger.getLogger("cicadahead.gateway");
 
     private final GatewayConfig config;
@@ -82,7 +88,10 @@
                 decisions,
                 timer,
                 GatewayNode::nowMillis,
-                (int) (Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_REQUEST));
+                (int) (Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_REQUEST),
+                new ResponseMemory(Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR));
+        metrics.gauge(
+                "gateway.response_bytes", () -> () -> context.responseMemory().usedBytes());
         metrics.gauge("gateway.active", () -> () -> context.activeRequests().get());
         metrics.gauge("gateway.log_lines_dropped", () -> decisions::dropped);
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
@@ -19,28 +19,34 @@
     private final EventStreamParser parser = new EventStreamParser();
     private final ByteArrayOutputStream bodyBuffer = new ByteArrayOutputStream();
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private final ResponseMemory.Holding memory;
+    private boolean tooLarge;
     private ResponseHead head;
     private long lastEventId;
     private boolean started;
     private int eventCount;
 
-    private ResponseRelay(AdmittedRequest admitted, long lastEventId) {
+    private ResponseRelay(AdmittedRequest admitted, long lastEventId, ResponseMemory.Holding memory) {
         this.admitted = admitted;
+        this.memory = memory;
         this.lastEventId = lastEventId;
     }
 
-    static ResponseRelay create(AdmittedRequest admitted, long lastEventId) {
-        return new ResponseRelay(admitted, lastEventId);
+    static ResponseRelay create(AdmittedRequest admitted, long lastEventId, ResponseMemory memory) {
+        return new ResponseRelay(admitted, lastEventId, memory.newHolding());
     }
 
     /** Checks the response head; returns the reason to retry at another endpoint, or null to accept the response. */
     RetryReason checkHead(ResponseHead received, boolean attemptsLeft) {
         head = received;
+        if (!received.attempt().equals(admitted.caller().attempt())) {
+            // A late copy of an earlier response on this connection tells nothing about this request.
+            return RetryReason.BAD_ANSWER;
+        }
         if (received.notRun() || received.status() == MISDIRECTED) {
             return received.status() == MISDIRECTED ? RetryReason.WRONG_INSTANCE : RetryReason.REJECTED;
         }
-        boolean matchesAttempt = received.attempt().equals(admitted.caller().attempt());
-        if (!matchesAttempt || received.isSuccess() && !received.signature()) {
+        if (received.isSuccess() && !received.signature()) {
             return RetryReason.BAD_ANSWER;
         }
         boolean failed = received.status() >= SERVER_ERROR;
@@ -50,6 +56,10 @@
     /** Processes a chunk of the body; returns the complete events that the caller has not received yet. */
     List<StreamEvent> processData(byte[] chunk) {
         started = true;
+        if (!memory.resize((long) bodyBuffer.size() + output.size() + parser.bufferedBytes() + chunk.length)) {
+            tooLarge = true;
+            return List.of();
+        }
         if (!isStream()) {
             bodyBuffer.writeBytes(chunk);
             return List.of();
@@ -94,9 +104,14 @@
         return admitted.route().repetition().isStreamed() && head.isSuccess();
     }
 
-    /** Returns whether an event or the buffered body exceeds its size limit. */
+    /** Returns whether an event or the buffered body exceeds its size limit, or all responses exceed theirs. */
     boolean exceedsLimit() {
-        return parser.isTooLarge() || bodyBuffer.size() > MAX_BODY_BYTES;
+        return tooLarge || parser.isTooLarge() || bodyBuffer.size() > MAX_BODY_BYTES;
+    }
+
+    /** Returns the memory of a response that is no longer needed. */
+    void release() {
+        memory.release();
     }
 
     /** Returns whether a response that has ended is complete, without a partial event at its end. */
--- a/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
@@ -17,7 +17,9 @@
     /** The endpoint responded with a server error. */
     FAILED(true),
     /** The endpoint did not send the first byte of its response in time. */
-    SLOW(true);
+    SLOW(true),
+    /** The endpoint sent no further event of a stream for much longer than callers wait. */
+    STALLED(true);
 
     private final boolean mayHaveRun;
 
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -33,6 +33,7 @@
 /** Tests the processing of requests with endpoints that fail in different ways. */
 class RequestFlowTest {
     private static final int MAX_ACTIVE = 12;
+    private static final long MAX_RESPONSE_BYTES = 100_000;
     private static final String EVENT_1 = "id: 1\ndata: d1\n\n";
     private static final String EVENT_2 = "id: 2\ndata: d2\n\n";
 
@@ -76,7 +77,8 @@
                 DecisionLog.to(new PrintStream(OutputStream.nullOutputStream())),
                 timer,
                 GatewayNode::nowMillis,
-                MAX_ACTIVE);
+                MAX_ACTIVE,
+                new ResponseMemory(MAX_RESPONSE_BYTES));
         SiteOrganisation organisation = new SiteOrganisation("o", List.of(KeyDigests.of("k")), 0, 0, null);
         context.site(SiteIndex.of(new SiteConfiguration(
                 1,
@@ -373,4 +375,29 @@
             assertThat(endpoints.last().request.instance()).isNotEqualTo(wrong);
         }
     }
+
+    /**
+     * A copy of an earlier rejection must not be taken for the response to this request, which may run: it is neither
+     * sent again nor refused as "not run".
+     */
+    @Test
+    void ignoresTheStatementOfACopyThatTheRequestDidNotRun() {
+        send("/once/x");
+        endpoints.last().listener.head(new ResponseHead(503, List.of(), "earlier", false, true));
+        assertThat(endpoints.sent).hasSize(1);
+        assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.ENDPOINT_LOST);
+    }
+
+    /** Responses without end must not occupy more memory than all responses together may. */
+    @Test
+    void endsAResponseThatExceedsTheCommonMemory() {
+        send("/once/x");
+        endpoints.last().head(200, true, false);
+        for (int i = 0; i < 11 && caller.refusal == null; i++) {
+            endpoints.last().data("x".repeat(10_000));
+        }
+        assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.ENDPOINT_LOST);
+        assertThat(endpoints.last().cancelled).isTrue();
+        assertThat(context.responseMemory().usedBytes()).isEqualTo(0);
+    }
 }
