Let hubs tell each other of endpoints that have left

Cause: a hub kept only the heartbeats that it had received itself. After a restart of the hub that was told of a departure, an entry that started learnt from the other hubs that the endpoint was ready, and took their old record for a fresh heartbeat. Operators of similar systems reported servers that were in use again after a restart.

Ruled out: the merge at the entry; a departure that it hears of wins over any earlier heartbeat.

Result: HubNodeTest.aDepartureOutlivesARestartOfTheHubThatWasTold and aSilentEndpointIsNotReportedAsReady fail without the change and pass with it. Not covered: a configuration that an entry learns after its restart from a hub that is cut off from the leader.

--- a/gateway/src/main/java/org/cicadahead/hub/HubNode.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubNode.java
@@ -282,8 +282,12 @@
         workers.shutdownNow();
     }
 
-    /** Passes the addresses of known hubs to the replica group and to the client of the leader. */
+    /**
+     * Merges the endpoints that another hub reports, and passes the addresses of known hubs to the replica group and to
+     * the client of the leader.
+     */
     private void applyUpdate(FleetUpdate update) {
+        watchers.merge(update, ReplicatedNode.monotonicMillis());
         if (update.daemons() != null) {
             Set<String> known = new TreeSet<>(config.seeds());
             known.add(config.address());
--- a/gateway/src/main/java/org/cicadahead/hub/HubService.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubService.java
@@ -69,7 +69,7 @@
         if (ReplicatedNode.handles(request)) {
             node.handle(request, responder);
         } else if (request instanceof WatchFleet watch) {
-            watchers.add(watch.daemon(), responder);
+            watchers.add(watch.daemon(), responder, clock.getAsLong());
         } else if (!node.holdsLease(clock.getAsLong())) {
             responder.reply(new NotLeader(node.leaderAddress()));
         } else {
--- a/gateway/src/main/java/org/cicadahead/hub/Watchers.java
+++ b/gateway/src/main/java/org/cicadahead/hub/Watchers.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.cicadahead.fleet.DaemonPlace;
 import org.cicadahead.fleet.EndpointRecord;
 import org.cicadahead.fleet.FleetRole;
@@ -53,13 +54,13 @@
     }
 
     /** Adds a watcher and sends it a complete update. */
-    void add(DaemonPlace daemon, Responder responder) {
+    void add(DaemonPlace daemon, Responder responder, long nowMillis) {
         synchronized (this) {
             watchers.values().removeIf(other -> other.equals(daemon));
             watchers.put(responder, daemon);
             FleetUpdate fullUpdate = new FleetUpdate(
                     state.site(),
-                    registry.records(),
+                    registry.currentRecords(nowMillis),
                     List.of(),
                     daemons(),
                     state.storeFounder(),
@@ -81,6 +82,21 @@
         }
     }
 
+    /**
+     * Merges what another hub reports of endpoints, so that a daemon that starts later learns from this hub as well
+     * which endpoints have departed, also after a restart of the hub that was told. Changes are passed on to entries,
+     * which may not be connected to the other hub, but not to hubs, which are.
+     */
+    synchronized void merge(FleetUpdate reported, long nowMillis) {
+        for (EndpointRecord each : reported.endpoints()) {
+            if (registry.applyHeartbeat(each, nowMillis)) {
+                FleetUpdate update = FleetUpdate.of(registry.find(each.id()).record());
+                broadcast(update, watcher -> watcher.role() == FleetRole.ENTRY);
+            }
+        }
+        reported.alive().forEach(id -> registry.refresh(id, nowMillis));
+    }
+
     /** Broadcasts the ids of the endpoints with unchanged heartbeats since the last call. */
     synchronized void broadcastAlive(long nowMillis) {
         if (!alive.isEmpty()) {
@@ -152,9 +168,13 @@
 
     /** Sends an update to all watchers. The configuration is sent only to entries, as no other role uses it. */
     private void broadcast(FleetUpdate update) {
+        broadcast(update, watcher -> true);
+    }
+
+    private void broadcast(FleetUpdate update, Predicate<DaemonPlace> receivers) {
         FleetUpdate updateWithoutSite = update.withoutSite();
         new LinkedHashMap<>(watchers).forEach((responder, daemon) -> {
-            if (!watchers.containsKey(responder)) {
+            if (!watchers.containsKey(responder) || !receivers.test(daemon)) {
                 return;
             }
             if (responder.queuedBytes() > MAX_QUEUED_BYTES) {
--- a/gateway/src/main/java/org/cicadahead/placement/EndpointRegistry.java
+++ b/gateway/src/main/java/org/cicadahead/placement/EndpointRegistry.java
@@ -112,6 +112,20 @@
         return endpoints.values().stream().map(KnownEndpoint::record).toList();
     }
 
+    /**
+     * Returns the last heartbeats that are still valid for a process that knows none: all departed and draining
+     * endpoints, but no ready one that has been silent, as it may have departed without this registry's knowledge.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     * @return the heartbeats
+     */
+    public List<EndpointRecord> currentRecords(long nowMillis) {
+        return endpoints.values().stream()
+                .filter(each -> !each.record().phase().takesRequests() || !isSilent(each, nowMillis))
+                .map(KnownEndpoint::record)
+                .toList();
+    }
+
     /**
      * Returns the endpoints of a service that accept requests.
      *
--- a/gateway/src/test/java/org/cicadahead/hub/HubNodeTest.java
+++ b/gateway/src/test/java/org/cicadahead/hub/HubNodeTest.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.cicadahead.fleet.DaemonPlace;
+import org.cicadahead.fleet.EndpointPhase;
+import org.cicadahead.fleet.EndpointRecord;
 import org.cicadahead.fleet.FleetMessages;
 import org.cicadahead.fleet.FleetRole;
 import org.cicadahead.fleet.FleetUpdate;
@@ -71,10 +73,21 @@
                 new MetricRegistry());
     }
 
+    private HubNode startWith(String ownAddress, List<String> seeds, Path dataFolder) throws Exception {
+        return HubNode.start(
+                new HubConfig(
+                        "hub-" + ownAddress, "z", ownAddress, seeds, dataFolder, true, 0, 1_000, QuotaTolerance.NONE),
+                new MetricRegistry());
+    }
+
     private List<FleetUpdate> watch(String name) {
+        return watchAt(name, address);
+    }
+
+    private List<FleetUpdate> watchAt(String name, String hubAddress) {
         List<FleetUpdate> updates = new CopyOnWriteArrayList<>();
         watches.add(FleetWatch.start(
-                new DaemonPlace(name, FleetRole.ENTRY, "z", ""), List.of(address), catalog, timer, updates::add));
+                new DaemonPlace(name, FleetRole.ENTRY, "z", ""), List.of(hubAddress), catalog, timer, updates::add));
         return updates;
     }
 
@@ -159,4 +172,53 @@
                 updates.stream().filter(update -> update.daemons() != null).count();
         assertThat(updateCount).isAtMost(others / 2);
     }
+
+    private static EndpointRecord endpoint(EndpointPhase phase, long sequence) {
+        return new EndpointRecord("e1", 100, sequence, "s", "10.0.0.1:80", "z", 4, phase, 0);
+    }
+
+    private static boolean reports(List<FleetUpdate> updates, EndpointPhase phase) {
+        return updates.stream()
+                .flatMap(update -> update.endpoints().stream())
+                .anyMatch(each -> each.id().equals("e1") && each.phase() == phase);
+    }
+
+    /**
+     * An endpoint told one hub that it leaves. After a restart of that hub, an entry that starts must learn of the
+     * departure, though the other hubs have only heard that the endpoint was ready.
+     */
+    @Test
+    void aDepartureOutlivesARestartOfTheHubThatWasTold(@TempDir Path otherFolder) throws Exception {
+        hub.shutdown(0);
+        String otherAddress = "127.0.0.1:" + TestPorts.free();
+        List<String> seeds = List.of(address, otherAddress);
+        HubNode told = startWith(address, seeds, folder.resolve("told"));
+        HubNode other = startWith(otherAddress, seeds, otherFolder);
+        hub = other;
+        other.heartbeat(endpoint(EndpointPhase.READY, 1), ReplicatedNode.monotonicMillis());
+        List<FleetUpdate> seenByTold = watch("before");
+        await(() -> reports(seenByTold, EndpointPhase.READY));
+        told.recordDeparture("e1", 100, ReplicatedNode.monotonicMillis());
+        List<FleetUpdate> seenByOther = watchAt("other", otherAddress);
+        await(() -> reports(seenByOther, EndpointPhase.GONE));
+        told.shutdown(0);
+        HubNode restarted = startWith(address, seeds, folder.resolve("told"));
+        List<FleetUpdate> updates = watch("after");
+        await(() -> reports(updates, EndpointPhase.GONE));
+        assertThat(reports(updates, EndpointPhase.READY)).isFalse();
+        restarted.shutdown(0);
+    }
+
+    /** A hub that has not heard of an endpoint for a while must not present it as ready to an entry that starts. */
+    @Test
+    void aSilentEndpointIsNotReportedAsReady() {
+        long longAgo = ReplicatedNode.monotonicMillis() - 10_000;
+        hub.heartbeat(endpoint(EndpointPhase.READY, 1), longAgo);
+        List<FleetUpdate> updates = watch("e");
+        await(() -> !updates.isEmpty());
+        assertThat(reports(updates, EndpointPhase.READY)).isFalse();
+        hub.heartbeat(endpoint(EndpointPhase.READY, 2), ReplicatedNode.monotonicMillis());
+        List<FleetUpdate> later = watch("later");
+        await(() -> reports(later, EndpointPhase.READY));
+    }
 }
