Send requests on the same object to the same endpoint on sticky routes

Change: SiteRoute.sticky; AffinityKey checks the header (one value, 1 to 256 printable characters), an invalid one is ignored, counted as gateway.affinity_ignored and named in the request's line. One placement key for sessions, prompts and objects; the home endpoint by rendezvous hashing, its load bounded by the cost of others. The ranks are mixed now: before, keys only rotated one order of the endpoints, and a home had 867 of 1,000 keys where each should have the same.

Result: AffinityKeyTest, RequestFlowTest.sendsRequestsOnTheSameObject- ToOneEndpoint, EndpointRegistryTest.keysAreSpreadEvenlyOverTheEndpoints (fails on the earlier ranks).

--- a/core/src/main/java/org/cicadahead/site/SiteRoute.java
+++ b/core/src/main/java/org/cicadahead/site/SiteRoute.java
@@ -15,6 +15,7 @@
  * @param keepsTurns whether turns are stored, so that a later request can continue them
  * @param retentionMillis the time for which turns are stored, in milliseconds
  * @param open whether requests need no key
+ * @param sticky whether an endpoint is faster at objects and prompts that it has handled recently
  * @param priority its priority; 0 is the highest
  * @param timeoutMillis the timeout of a request, in milliseconds
  * @param targetMillis the latency objective, in milliseconds
@@ -31,6 +32,7 @@
         boolean keepsTurns,
         long retentionMillis,
         boolean open,
+        boolean sticky,
         int priority,
         long timeoutMillis,
         long targetMillis,
--- a/core/src/test/java/org/cicadahead/site/SiteConfigurationTest.java
+++ b/core/src/test/java/org/cicadahead/site/SiteConfigurationTest.java
@@ -14,7 +14,21 @@
 
     private static SiteRoute route(String name, String host, String prefix, long timeout, WeightedService... to) {
         return new SiteRoute(
-                name, host, prefix, Repetition.IDEMPOTENT, false, false, 0, false, 0, timeout, 0, 0, 1, List.of(to));
+                name,
+                host,
+                prefix,
+                Repetition.IDEMPOTENT,
+                false,
+                false,
+                0,
+                false,
+                false,
+                0,
+                timeout,
+                0,
+                0,
+                1,
+                List.of(to));
     }
 
     private static SiteRoute route(String name, String host, String prefix) {
--- a/gateway/src/main/java/org/cicadahead/gateway/Admission.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/Admission.java
@@ -40,15 +40,16 @@
                 route,
                 index.service(route.service(hashFraction(caller))),
                 organisation,
+                AffinityKey.parse(caller.affinityValues()),
                 caller.receivedMillis() + timeoutMillis);
     }
 
     /**
-     * Hashes the cache key to a number in [0, 1), so that all turns of a session are routed to the same service.
-     * Requests without a cache key are spread by their attempt ids.
+     * Hashes the prompt key to a number in [0, 1), so that all turns of a session are routed to the same service.
+     * Requests without a prompt key are spread by their attempt ids.
      */
     private static double hashFraction(CallerRequest caller) {
-        String key = caller.cacheKey().isEmpty() ? caller.attempt() : caller.cacheKey();
+        String key = caller.promptKey().isEmpty() ? caller.attempt() : caller.promptKey();
         int hash = key.hashCode() * 0x9E3779B1;
         return (hash >>> 1) / (double) (1L << HASH_BITS);
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/AdmittedRequest.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/AdmittedRequest.java
@@ -11,6 +11,7 @@
  * @param route its route
  * @param service the service that runs it
  * @param organisation its organisation, or null on open routes
+ * @param affinity the object that the request concerns, or null if the caller states it in an invalid way
  * @param deadlineMillis the monotonic time at which the time limit of the caller or route expires, in milliseconds
  */
 record AdmittedRequest(
@@ -18,12 +19,23 @@
         SiteRoute route,
         SiteService service,
         SiteOrganisation organisation,
+        AffinityKey affinity,
         long deadlineMillis) {
 
     String organisationName() {
         return organisation == null ? "" : organisation.name();
     }
 
+    /** Returns the key of requests that should run at the same endpoint; empty if the request may run at any. */
+    String placementKey() {
+        String object = route.sticky() && affinity != null ? affinity.text() : "";
+        if (!service.runsModels()) {
+            return object;
+        }
+        String prompt = caller.promptKey();
+        return prompt.isEmpty() ? object : prompt;
+    }
+
     /** Returns the id of the request's program, or an empty string if it has none. */
     String program() {
         return caller.programContext() == null ? "" : caller.programContext().program();
--- a/gateway/src/main/java/org/cicadahead/gateway/CallerRequest.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/CallerRequest.java
@@ -18,6 +18,7 @@
  * @param programContext the program that the request belongs to, or null
  * @param previousTurn the id of the turn that this one continues; empty if there is none
  * @param prompt the parts of the prompt in order; empty if not given
+ * @param affinityValues the values of the header that names the object the request concerns, one for each occurrence
  * @param maxTokens the maximum number of tokens to generate; 0 if not given
  * @param lastEventId the id of the last event that the caller has received, if it resumes a stream; -1 otherwise
  * @param receivedMillis the monotonic time at which the request was read, in milliseconds
@@ -35,6 +36,7 @@
         ProgramContext programContext,
         String previousTurn,
         List<PromptPart> prompt,
+        List<String> affinityValues,
         long maxTokens,
         long lastEventId,
         long receivedMillis) {
@@ -54,14 +56,15 @@
         Objects.requireNonNull(previousTurn, "The previous turn must not be null");
         fields = List.copyOf(fields);
         prompt = List.copyOf(prompt);
+        affinityValues = List.copyOf(affinityValues);
     }
 
     /**
-     * Returns the key that requests with a common prompt prefix share, by which they are sent to the same engine.
+     * Returns the key that requests with a common prompt prefix share.
      *
      * @return the session id, or else the id of the last part of the prompt, or else an empty string
      */
-    public String cacheKey() {
+    public String promptKey() {
         if (programContext != null && !programContext.session().isEmpty()) {
             return programContext.session();
         }
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -110,8 +110,9 @@
                 }
                 return;
             }
-            String session = admitted.service().runsModels() ? admitted.caller().cacheKey() : "";
-            placement = scope.context().selector().place(admitted.service().name(), session, triedEndpoints, now);
+            placement = scope.context()
+                    .selector()
+                    .place(admitted.service().name(), admitted.placementKey(), triedEndpoints, now);
             if (placement == null) {
                 refuseWithoutEndpoint();
                 return;
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointSelector.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointSelector.java
@@ -36,8 +36,8 @@
     }
 
     /** Chooses an endpoint and counts the request as in flight there; returns null if none is available. */
-    synchronized Placement place(String service, String session, Set<String> excluded, long nowMillis) {
-        KnownEndpoint chosen = policy.choose(new PlacementRequest(service, session, zone, excluded), nowMillis);
+    synchronized Placement place(String service, String key, Set<String> excluded, long nowMillis) {
+        KnownEndpoint chosen = policy.choose(new PlacementRequest(service, key, zone, excluded), nowMillis);
         if (chosen == null) {
             return null;
         }
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayCounters.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayCounters.java
@@ -13,6 +13,7 @@
     private final Counter answered;
     private final Counter streamBroken;
     private final Counter callerDisconnected;
+    private final Counter affinityIgnored;
 
     GatewayCounters(MetricRegistry metrics) {
         for (RefusalReason reason : RefusalReason.values()) {
@@ -24,6 +25,7 @@
         answered = metrics.counter("gateway.answered");
         streamBroken = metrics.counter("gateway.broken");
         callerDisconnected = metrics.counter("gateway.caller_gone");
+        affinityIgnored = metrics.counter("gateway.affinity_ignored");
     }
 
     void refused(RefusalReason reason) {
@@ -42,6 +44,10 @@
         streamBroken.inc();
     }
 
+    void affinityIgnored() {
+        affinityIgnored.inc();
+    }
+
     void callerDisconnected() {
         callerDisconnected.inc();
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
@@ -35,6 +35,9 @@
             return;
         }
         scope.trace().admitted(admitted, index.site().version());
+        if (admitted.affinity() == null) {
+            context.counters().affinityIgnored();
+        }
         scope.expireAt(admitted.deadlineMillis());
         PriorityClass priority = context.programs().priority(admitted, caller.receivedMillis());
         scope.trace().priority(priority);
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
@@ -66,6 +66,9 @@
                 json.writeStringField("route", admitted.route().name());
                 json.writeStringField("organisation", admitted.organisationName());
                 json.writeNumberField("site_version", siteVersion);
+                if (admitted.affinity() == null) {
+                    json.writeBooleanField("affinity_ignored", true);
+                }
             }
             if (priority != null) {
                 json.writeStringField("priority", priority.name());
--- a/gateway/src/main/java/org/cicadahead/placement/PlacementPolicy.java
+++ b/gateway/src/main/java/org/cicadahead/placement/PlacementPolicy.java
@@ -5,11 +5,12 @@
 
 /**
  * Chooses the endpoint with the lowest expected cost. The cost depends on its latency ratio, the requests in flight
- * from this entry, its availability zone and whether it is likely to have the session's prompt cached. Not thread-safe.
+ * from this entry, its availability zone and whether it is likely to have the request's prompt or object cached. Not
+ * thread-safe.
  *
  * <p>The latency ratio reflects slow endpoints and the load from other entries, whose requests this entry cannot see.
  * It is measured by the entry itself and does not depend on heartbeats. Rendezvous hashing lets the entries of a zone
- * agree on the engine of a session. Create a policy with {@link #over(EndpointRegistry)}.
+ * agree on the home endpoint of a session or an object. Create a policy with {@link #over(EndpointRegistry)}.
  */
 public final class PlacementPolicy {
     /**
@@ -20,7 +21,8 @@
     /** The cost factor of another availability zone, because traffic between zones is expensive. */
     static final double CROSS_ZONE_FACTOR = 1.25;
     /**
-     * The cost factor of an engine without the session's prompt in its cache, because it must process the prompt again.
+     * The cost factor of an endpoint that is not the home of the request's key, because it must process the prompt
+     * again or load the object. It bounds the load of the home: with more load than that, another one costs less.
      */
     static final double CACHE_MISS_FACTOR = 1.08;
     /** The cost factor of an endpoint that has recently rejected a request as full. */
@@ -66,12 +68,12 @@
     }
 
     private static KnownEndpoint best(List<KnownEndpoint> candidates, PlacementRequest request, long nowMillis) {
-        KnownEndpoint sessionEngine = sessionEngine(candidates, request);
+        KnownEndpoint home = home(candidates, request);
         KnownEndpoint best = null;
         double bestCost = 0;
         long bestRank = 0;
         for (KnownEndpoint each : candidates) {
-            double cost = cost(each, request, each == sessionEngine, nowMillis);
+            double cost = cost(each, request, each == home, nowMillis);
             long rank = rank(each, request);
             if (best == null || cost < bestCost || cost == bestCost && rank > bestRank) {
                 best = each;
@@ -82,42 +84,49 @@
         return best;
     }
 
-    private static double cost(KnownEndpoint each, PlacementRequest request, boolean cached, long nowMillis) {
+    private static double cost(KnownEndpoint each, PlacementRequest request, boolean isHome, long nowMillis) {
         double cost = each.latencyRatio(nowMillis)
                 * (1
                         + FULL_LOAD_SLOWDOWN
                                 * each.inFlight()
                                 / Math.max(1, each.record().slots()));
         cost *= each.record().zone().equals(request.zone()) ? 1 : CROSS_ZONE_FACTOR;
-        cost *= request.session().isEmpty() || cached ? 1 : CACHE_MISS_FACTOR;
+        cost *= request.key().isEmpty() || isHome ? 1 : CACHE_MISS_FACTOR;
         cost *= each.recentlyRejected(nowMillis) ? REJECTION_FACTOR : 1;
         return cost;
     }
 
     /**
-     * Returns the engine that is preferred for a session: the one with the highest rendezvous rank in the entry's zone,
+     * Returns the endpoint that is preferred for a key: the one with the highest rendezvous rank in the entry's zone,
      * or in any zone if there is none in the entry's zone.
      */
-    private static KnownEndpoint sessionEngine(List<KnownEndpoint> candidates, PlacementRequest request) {
-        KnownEndpoint sessionEngine = null;
-        boolean sessionEngineIsLocal = false;
-        long sessionEngineRank = 0;
+    private static KnownEndpoint home(List<KnownEndpoint> candidates, PlacementRequest request) {
+        KnownEndpoint home = null;
+        boolean homeIsLocal = false;
+        long homeRank = 0;
         for (KnownEndpoint each : candidates) {
             boolean local = each.record().zone().equals(request.zone());
             long rank = rank(each, request);
-            if (sessionEngine == null
-                    || local && !sessionEngineIsLocal
-                    || local == sessionEngineIsLocal && rank > sessionEngineRank) {
-                sessionEngine = each;
-                sessionEngineIsLocal = local;
-                sessionEngineRank = rank;
+            if (home == null || local && !homeIsLocal || local == homeIsLocal && rank > homeRank) {
+                home = each;
+                homeIsLocal = local;
+                homeRank = rank;
             }
         }
-        return sessionEngine;
+        return home;
     }
 
     private static long rank(KnownEndpoint endpoint, PlacementRequest request) {
-        long hash = (request.session() + '/' + endpoint.record().id()).hashCode() * 0x9E3779B97F4A7C15L;
-        return hash ^ hash >>> 29;
+        return mix(mix(request.key().hashCode()) + endpoint.record().id().hashCode());
+    }
+
+    /**
+     * Spreads a hash over all bits (the finalizer of SplitMix64). Without it the endpoints would keep
+     * their order for all keys but for a rotation, and their shares of the keys would be as uneven as their hashes.
+     */
+    private static long mix(long hash) {
+        long mixed = (hash + 0x9E3779B97F4A7C15L) * 0xBF58476D1CE4E5B9L;
+        mixed = (mixed ^ mixed >>> 30) * 0x94D049BB133111EBL;
+        return mixed ^ mixed >>> 31;
     }
 }
--- a/gateway/src/main/java/org/cicadahead/placement/PlacementRequest.java
+++ b/gateway/src/main/java/org/cicadahead/placement/PlacementRequest.java
@@ -6,11 +6,12 @@
  * The input of a choice among endpoints. Immutable.
  *
  * @param service the name of the service
- * @param session the key of requests that share a prompt cache; empty if there is no cache
+ * @param key the key of requests that should run at the same endpoint, because it has their prompt or object in its
+ *     cache; empty if there is none
  * @param zone the availability zone of the entry
  * @param excluded the ids of endpoints that must not be chosen
  */
-public record PlacementRequest(String service, String session, String zone, Set<String> excluded) {
+public record PlacementRequest(String service, String key, String zone, Set<String> excluded) {
 
     /** Copies the set. */
     public PlacementRequest {
--- a/gateway/src/test/java/org/cicadahead/gateway/ProgramTrackerTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/ProgramTrackerTest.java
@@ -28,6 +28,7 @@
                 new ProgramContext(program, program, 5_000, 1_000),
                 "",
                 List.of(),
+                List.of(),
                 100,
                 -1,
                 0);
@@ -40,13 +41,14 @@
                 false,
                 0,
                 true,
+                false,
                 0,
                 1_000,
                 100,
                 0,
                 1,
                 List.of(new WeightedService("s", 1)));
-        return new AdmittedRequest(caller, route, new SiteService("s", "", 0, null), null, 1_000);
+        return new AdmittedRequest(caller, route, new SiteService("s", "", 0, null), null, AffinityKey.NONE, 1_000);
     }
 
     /**
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -6,7 +6,9 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -54,6 +56,7 @@
                 false,
                 60_000,
                 false,
+                prefix.equals("/sticky/"),
                 0,
                 3_000,
                 200,
@@ -85,6 +88,7 @@
                 List.of(
                         route("/safe/", Repetition.IDEMPOTENT, false),
                         route("/once/", Repetition.NON_IDEMPOTENT, false),
+                        route("/sticky/", Repetition.IDEMPOTENT, false),
                         route("/stream/", Repetition.STREAM, false),
                         route("/resume/", Repetition.STREAM, true)),
                 List.of(new SiteService("s", "/health", 10, null)),
@@ -130,6 +134,7 @@
                         null,
                         "",
                         List.of(),
+                        List.of(),
                         0,
                         -1,
                         GatewayNode.nowMillis()),
@@ -345,6 +350,11 @@
     }
 
     private static CallerRequest request(String attempt, String method, String path, String key, long timeLeftMillis) {
+        return request(attempt, method, path, key, timeLeftMillis, List.of());
+    }
+
+    private static CallerRequest request(
+            String attempt, String method, String path, String key, long timeLeftMillis, List<String> affinity) {
         return new CallerRequest(
                 attempt,
                 method,
@@ -358,6 +368,7 @@
                 null,
                 "",
                 List.of(),
+                affinity,
                 0,
                 -1,
                 GatewayNode.nowMillis());
@@ -400,4 +411,32 @@
         assertThat(endpoints.last().cancelled).isTrue();
         assertThat(context.responseMemory().usedBytes()).isEqualTo(0);
     }
+
+    private String endpointOf(String path, List<String> affinity) {
+        FakeExchange exchange = new FakeExchange();
+        RequestFlow.serve(context, request("k", "GET", path, "k", 2_000, affinity), exchange);
+        exchange.disconnectAction.run();
+        return endpoints.last().request.instance();
+    }
+
+    /** Requests that concern the same object go to the same endpoint on sticky routes, and objects are spread. */
+    @Test
+    void sendsRequestsOnTheSameObjectToOneEndpoint() {
+        Set<String> homes = new HashSet<>();
+        for (int object = 0; object < 30; object++) {
+            String home = endpointOf("/sticky/x", List.of("object" + object));
+            homes.add(home);
+            assertThat(endpointOf("/sticky/x", List.of("object" + object))).isEqualTo(home);
+        }
+        assertThat(homes).containsExactly("a", "b", "c");
+    }
+
+    /** An invalid key is ignored and counted; the request is served. */
+    @Test
+    void ignoresAnInvalidAffinityKey() {
+        endpointOf("/sticky/x", List.of("a", "b"));
+        endpointOf("/sticky/x", List.of(""));
+        assertThat(metrics.counter("gateway.affinity_ignored").getCount()).isEqualTo(2);
+        assertThat(endpoints.sent).hasSize(2);
+    }
 }
--- a/gateway/src/test/java/org/cicadahead/gateway/StreamProgressTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/StreamProgressTest.java
@@ -20,6 +20,7 @@
                 false,
                 0,
                 true,
+                false,
                 0,
                 60_000,
                 targetMillis,
--- a/gateway/src/test/java/org/cicadahead/placement/EndpointRegistryTest.java
+++ b/gateway/src/test/java/org/cicadahead/placement/EndpointRegistryTest.java
@@ -2,8 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.Range;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.cicadahead.fleet.EndpointPhase;
 import org.cicadahead.fleet.EndpointRecord;
@@ -154,4 +157,24 @@
         }
         assertThat(seen).containsExactly("slow", "fast");
     }
+
+    /**
+     * Each endpoint must be home to about the same number of keys, or one is overloaded while others are idle. Load
+     * pattern: many sessions over six engines whose ids differ in a few characters.
+     */
+    @Test
+    void keysAreSpreadEvenlyOverTheEndpoints() {
+        int keys = 6_000;
+        Map<String, Integer> keysByHome = new HashMap<>();
+        for (int i = 0; i < 6; i++) {
+            registry.applyHeartbeat(ready("i-7f3a91c" + i, 1), 0);
+        }
+        for (int i = 0; i < keys; i++) {
+            keysByHome.merge(choose("session-" + i, Set.of(), 10), 1, Integer::sum);
+        }
+        assertThat(keysByHome).hasSize(6);
+        keysByHome
+                .values()
+                .forEach(count -> assertThat(count).isIn(Range.closed(keys / 6 * 9 / 10, keys / 6 * 11 / 10)));
+    }
 }
