Admit the first turns of urgent programs before others

Within an organisation all first turns were of one class, and urgent programs are longer, so that they met an exhausted rate more often.

Change: URGENT_NEW, the class of first turns whose organisation or else route has the highest priority, keeps a tenth of the burst free instead of a quarter and may use three tenths of the overdraft.

--- a/core/src/main/java/org/cicadahead/fleet/PriorityClass.java
+++ b/core/src/main/java/org/cicadahead/fleet/PriorityClass.java
@@ -11,6 +11,8 @@
     CALL(0, 1),
     /** A turn of a program that has started. */
     RUNNING(0.08, 0.8),
+    /** The first turn of a program on a route of the highest priority. */
+    URGENT_NEW(0.1, 0.3),
     /** The first turn of a program. */
     NEW(0.25, 0),
     /** A turn of a program that sends far more requests than programs usually do. */
@@ -34,8 +36,8 @@
     }
 
     /**
-     * Returns the fraction of an organisation's overdraft that requests of the class may use. Only requests of programs
-     * that have started may use it, as a program that loses one of them has run in vain.
+     * Returns the fraction of an organisation's overdraft that requests of the class may use. Programs that have started
+     * may use most of it, as a program that loses one request has run in vain.
      *
      * @return the fraction, from 0 to 1
      */
--- a/gateway/src/main/java/org/cicadahead/gateway/AdmittedRequest.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/AdmittedRequest.java
@@ -36,6 +36,12 @@
         return prompt.isEmpty() ? object : prompt;
     }
 
+    /** Returns the priority of the organisation if it has one, or else of the route; 0 is the highest. */
+    int priority() {
+        boolean ownPriority = organisation != null && organisation.priority() != null;
+        return ownPriority ? organisation.priority() : route.priority();
+    }
+
     /** Returns the id of the request's program, or an empty string if it has none. */
     String program() {
         return caller.programContext() == null ? "" : caller.programContext().program();
--- a/gateway/src/main/java/org/cicadahead/gateway/ProgramTracker.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ProgramTracker.java
@@ -16,6 +16,8 @@
      */
     static final double EXCESSIVE_REQUESTS = 24;
 
+    private static final int HIGHEST_PRIORITY = 0;
+
     private final Map<String, Activity> programs = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1;
 
@@ -51,8 +53,10 @@
         if (activity.decayedRequests > EXCESSIVE_REQUESTS) {
             return PriorityClass.EXCESSIVE;
         }
-        boolean running = activity.started || !admitted.caller().previousTurn().isEmpty();
-        return running ? PriorityClass.RUNNING : PriorityClass.NEW;
+        if (activity.started || !admitted.caller().previousTurn().isEmpty()) {
+            return PriorityClass.RUNNING;
+        }
+        return admitted.priority() == HIGHEST_PRIORITY ? PriorityClass.URGENT_NEW : PriorityClass.NEW;
     }
 
     /** Marks the program of an admitted request as running. */
--- a/gateway/src/test/java/org/cicadahead/gateway/ProgramLoadReplay.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/ProgramLoadReplay.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -42,8 +43,12 @@
     private final Random random;
     private long now;
     private long sequence;
-    private double owed;
-    private double earned;
+    private final Map<PriorityClass, Worth> worths = new EnumMap<>(PriorityClass.class);
+
+    private static final class Worth {
+        private double owed;
+        private double earned;
+    }
 
     private record Event(long millis, long sequence, Runnable action) {}
 
@@ -67,23 +72,33 @@
     }
 
     /** Adds programs with a mean number of turns that arrive at random between two times. */
-    void addPrograms(double perSecond, int meanTurns, double worth, long fromMillis, long untilMillis) {
+    void addPrograms(
+            PriorityClass first, double perSecond, int meanTurns, double worth, long fromMillis, long untilMillis) {
         double millis = fromMillis + exponential() / perSecond * 1_000;
         while (millis < untilMillis) {
             int turns = Math.max(1, (int) Math.round(exponential() * meanTurns));
-            at((long) millis, () -> new Program(turns, worth).start());
+            at((long) millis, () -> new Program(first, turns, worth).start());
             millis += exponential() / perSecond * 1_000;
         }
     }
 
-    /** Plays until the given time; returns what the programs earned as a fraction of what they are worth in time. */
-    double play(long untilMillis) {
+    /** Plays until the given time. */
+    void play(long untilMillis) {
         while (!events.isEmpty() && events.peek().millis <= untilMillis) {
             Event next = events.poll();
             now = Math.max(now, next.millis);
             next.action.run();
         }
-        return earned / owed;
+    }
+
+    /** Returns what the programs whose first turns are of a class are worth in time. */
+    double owed(PriorityClass first) {
+        return worths.containsKey(first) ? worths.get(first).owed : 0;
+    }
+
+    /** Returns what the programs whose first turns are of a class have earned. */
+    double earned(PriorityClass first) {
+        return worths.containsKey(first) ? worths.get(first).earned : 0;
     }
 
     private double exponential() {
@@ -111,6 +126,7 @@
 
     /** A program: turns one after the other, each followed by calls at the same time. */
     private final class Program {
+        private final PriorityClass first;
         private final int turns;
         private final double worth;
         private final long aimMillis;
@@ -118,19 +134,20 @@
         private int callsOpen;
         private boolean ended;
 
-        Program(int turns, double worth) {
+        Program(PriorityClass first, int turns, double worth) {
+            this.first = first;
             this.turns = turns;
             this.worth = worth;
             this.aimMillis = now + (long) (1.4 * turns * (TURN_MILLIS + CALL_MILLIS + 24)) + 209;
         }
 
         void start() {
-            owed += worth;
+            worths.computeIfAbsent(first, key -> new Worth()).owed += worth;
             turn(TURN_SENDS);
         }
 
         private void turn(int sendsLeft) {
-            PriorityClass priority = turnsDone == 0 ? PriorityClass.NEW : PriorityClass.RUNNING;
+            PriorityClass priority = turnsDone == 0 ? first : PriorityClass.RUNNING;
             request(priority, ATTEMPTS, now + TURN_LIMIT_MILLIS, served -> {
                 if (served) {
                     at(now + TURN_MILLIS, this::calls);
@@ -157,7 +174,7 @@
             if (++turnsDone < turns) {
                 turn(TURN_SENDS);
             } else {
-                earned += now <= aimMillis ? worth : LATE_WORTH * worth;
+                worths.get(first).earned += now <= aimMillis ? worth : LATE_WORTH * worth;
             }
         }
 
--- a/gateway/src/test/java/org/cicadahead/gateway/ProgramTrackerTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/ProgramTrackerTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.cicadahead.fleet.PriorityClass;
 import org.cicadahead.site.Repetition;
+import org.cicadahead.site.SiteOrganisation;
 import org.cicadahead.site.SiteRoute;
 import org.cicadahead.site.SiteService;
 import org.cicadahead.site.WeightedService;
@@ -15,6 +16,11 @@
     private final ProgramTracker tracker = new ProgramTracker();
 
     private static AdmittedRequest request(String program, Repetition repetition) {
+        return request(program, repetition, 1, null);
+    }
+
+    private static AdmittedRequest request(
+            String program, Repetition repetition, int routePriority, SiteOrganisation organisation) {
         CallerRequest caller = new CallerRequest(
                 "a",
                 "POST",
@@ -42,13 +48,14 @@
                 0,
                 true,
                 false,
-                0,
+                routePriority,
                 1_000,
                 100,
                 0,
                 1,
                 List.of(new WeightedService("s", 1)));
-        return new AdmittedRequest(caller, route, new SiteService("s", "", 0, null), null, AffinityKey.NONE, 1_000);
+        return new AdmittedRequest(
+                caller, route, new SiteService("s", "", 0, null), organisation, AffinityKey.NONE, 1_000);
     }
 
     /**
@@ -86,4 +93,17 @@
         assertThat(last).isEqualTo(PriorityClass.EXCESSIVE);
         assertThat(tracker.priority(turn, 20_000)).isEqualTo(PriorityClass.RUNNING);
     }
+
+    /** The first turns of urgent programs rank before others; an organisation's own priority overrides the route's. */
+    @Test
+    void firstTurnsRankByPriority() {
+        SiteOrganisation urgent = new SiteOrganisation("o", List.of(), 10, 10, 0);
+        SiteOrganisation patient = new SiteOrganisation("o", List.of(), 10, 10, 2);
+        assertThat(tracker.priority(request("a", Repetition.STREAM, 0, null), 0))
+                .isEqualTo(PriorityClass.URGENT_NEW);
+        assertThat(tracker.priority(request("b", Repetition.STREAM, 1, urgent), 0))
+                .isEqualTo(PriorityClass.URGENT_NEW);
+        assertThat(tracker.priority(request("c", Repetition.STREAM, 0, patient), 0))
+                .isEqualTo(PriorityClass.NEW);
+    }
 }
