--- a/core/src/main/java/org/cicadahead/fleet/PriorityClass.java
+++ b/core/src/main/java/org/cicadahead/fleet/PriorityClass.java
@@ -36,8 +36,8 @@
     }
 
     /**
-     * Returns the fraction of an organisation's overdraft that requests of the class may use. Programs that have started
-     * may use most of it, as a program that loses one request has run in vain.
+     * Returns the fraction of an organisation's overdraft that requests of the class may use. Programs that have
+     * started may use most of it, as a program that loses one request has run in vain.
      *
      * @return the fraction, from 0 to 1
      */
