--- a/gateway/src/test/java/org/cicadahead/gateway/EventStreamParserTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/EventStreamParserTest.java
@@ -57,4 +57,25 @@
         StreamEvent event = new EventStreamParser().feed(invalidText).get(0);
         assertThat(event.data()).isEqualTo(new byte[] {(byte) 0xff, (byte) 0x80});
     }
+
+    /** No bytes, in any chunks, may be lost, duplicated or make the parser fail. */
+    @Property(tries = 500)
+    void anyBytesArePreserved(@ForAll long seed) {
+        Random random = new Random(seed);
+        byte[] alphabet = bytes("\n\n\r:didata 0-9\0\u00ff");
+        EventStreamParser parser = new EventStreamParser();
+        StringBuilder sent = new StringBuilder();
+        StringBuilder received = new StringBuilder();
+        for (int chunk = 0; chunk < 40; chunk++) {
+            byte[] bytes = new byte[random.nextInt(30)];
+            for (int i = 0; i < bytes.length; i++) {
+                bytes[i] = alphabet[random.nextInt(alphabet.length)];
+            }
+            sent.append(new String(bytes, StandardCharsets.ISO_8859_1));
+            parser.feed(bytes)
+                    .forEach(event -> received.append(new String(event.bytes(), StandardCharsets.ISO_8859_1)));
+        }
+        assertThat(sent.toString()).startsWith(received.toString());
+        assertThat(sent.length() - received.length()).isEqualTo(parser.bufferedBytes());
+    }
 }
