--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -313,7 +313,7 @@
                 List<StreamEvent> newEvents = relay.processData(data);
                 lastEventId = relay.lastEventId();
                 for (StreamEvent event : newEvents) {
-                    if (event.data() != null) {
+                    if (event.hasData()) {
                         progress.eventReceived(scope.context().nowMillis());
                     }
                     tokens += relay.tokens(event);
