--- a/gateway/src/main/java/org/cicadahead/quota/OrganisationShares.java
+++ b/gateway/src/main/java/org/cicadahead/quota/OrganisationShares.java
@@ -34,7 +34,8 @@
      *
      * <p>Load pattern: the requests of one program come in clumps (a turn, then several calls at once) that exceed a
      * small rate and burst, though the organisation is within its rate in the mean. Without an overdraft the program
-     * fails at one of its last calls. The debt is repaid from the rate before another program is admitted.
+     * fails at one of its last calls. The debt is repaid from the rate before another program is admitted, except for
+     * urgent ones, which may use a part of the overdraft themselves.
      */
     static final double OVERDRAFT_FRACTION = 0.25;
 
