--- a/gateway/src/main/java/org/cicadahead/gateway/HeadProgress.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/HeadProgress.java
@@ -5,7 +5,7 @@
  *
  * <p>Load pattern: callers that send a byte now and then hold their connections without ever completing a request. The
  * idle timeout of a connection does not end them, as each byte restarts it. An idle connection, on which no byte of a
- * request has arrived, is left to the idle timeout. Create one with {@link #start(long)} when the connection is first
+ * request has arrived, is left to the idle timeout. Create one with {@link #start()} when the connection is first
  * seen.
  */
 public final class HeadProgress {
@@ -14,18 +14,15 @@
     private long headBegunMillis;
     private boolean headBegun;
 
-    private HeadProgress(long nowMillis) {
-        this.headBegunMillis = nowMillis;
-    }
+    private HeadProgress() {}
 
     /**
      * Returns the progress of a connection that is seen for the first time.
      *
-     * @param nowMillis monotonic time in milliseconds
      * @return the progress
      */
-    public static HeadProgress start(long nowMillis) {
-        return new HeadProgress(nowMillis);
+    public static HeadProgress start() {
+        return new HeadProgress();
     }
 
     /**
--- a/gateway/src/main/java/org/cicadahead/placement/EndpointRegistry.java
+++ b/gateway/src/main/java/org/cicadahead/placement/EndpointRegistry.java
@@ -103,15 +103,6 @@
         return endpoints.get(id);
     }
 
-    /**
-     * Returns the last heartbeat of each endpoint, including departed ones.
-     *
-     * @return the heartbeats
-     */
-    public List<EndpointRecord> records() {
-        return endpoints.values().stream().map(KnownEndpoint::record).toList();
-    }
-
     /**
      * Returns the last heartbeats that are still valid for a process that knows none: all departed and draining
      * endpoints, but no ready one that has been silent, as it may have departed without this registry's knowledge.
--- a/gateway/src/test/java/org/cicadahead/gateway/HeadProgressTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/HeadProgressTest.java
@@ -6,7 +6,7 @@
 
 /** Guards against connections that are held by heads without end, and against closing sound connections. */
 class HeadProgressTest {
-    private final HeadProgress progress = HeadProgress.start(0);
+    private final HeadProgress progress = HeadProgress.start();
 
     @Test
     void headThatDripsExceedsItsTime() {
