--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
@@ -229,7 +230,9 @@
     }
 
     private void traceAttempt(String outcome, long now) {
-        scope.trace().attempt(placement.record().id(), outcome, sentMillis, now);
+        ResponseHead head = relay.head();
+        OptionalDouble requestLimit = head == null ? OptionalDouble.empty() : head.requestLimit();
+        scope.trace().attempt(placement.record().id(), outcome, requestLimit, sentMillis, now);
     }
 
     /** Retries at another endpoint if the route, the attempt limit and the time left allow it. */
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
@@ -6,6 +6,7 @@
 import java.io.StringWriter;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
 import org.cicadahead.fleet.PriorityClass;
 
 /** Collects the decisions made on one request and formats them as its line in the decision log. Not thread-safe. */
@@ -20,7 +21,8 @@
     private long rateAdmittedAfterMillis = -1;
     private long openedAfterMillis = -1;
 
-    private record Attempt(String endpoint, String outcome, long beganMillis, long endedMillis) {}
+    private record Attempt(
+            String endpoint, String outcome, OptionalDouble requestLimit, long beganMillis, long endedMillis) {}
 
     RequestTrace(CallerRequest caller) {
         this.caller = caller;
@@ -43,8 +45,8 @@
         openedAfterMillis = nowMillis - caller.receivedMillis();
     }
 
-    void attempt(String endpoint, String outcome, long beganMillis, long endedMillis) {
-        attempts.add(new Attempt(endpoint, outcome, beganMillis, endedMillis));
+    void attempt(String endpoint, String outcome, OptionalDouble requestLimit, long beganMillis, long endedMillis) {
+        attempts.add(new Attempt(endpoint, outcome, requestLimit, beganMillis, endedMillis));
     }
 
     /** Returns the log line as JSON; {@code wallMillis} is the wall-clock time at which the request ended. */
@@ -84,6 +86,9 @@
                 json.writeStartObject();
                 json.writeStringField("endpoint", each.endpoint);
                 json.writeStringField("outcome", each.outcome);
+                if (each.requestLimit.isPresent()) {
+                    json.writeNumberField("request_limit", each.requestLimit.getAsDouble());
+                }
                 json.writeNumberField("at_ms", each.beganMillis - caller.receivedMillis());
                 json.writeNumberField("ms", each.endedMillis - each.beganMillis);
                 json.writeEndObject();
--- a/gateway/src/main/java/org/cicadahead/gateway/ResponseHead.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.cicadahead.gateway;
 
 import java.util.List;
+import java.util.OptionalDouble;
 
 /**
  * The status and headers of an endpoint's response. Immutable.
@@ -10,8 +11,16 @@
  * @param attempt the attempt id that the endpoint echoes; empty if it sends none
  * @param signature whether the response carries the endpoint's signature, which proves that it ran the request
  * @param notRun whether the endpoint states that it did not run the request
+ * @param requestLimit the number of requests per second that the endpoint accepts from all entries together; empty if
+ *     it states none
  */
-public record ResponseHead(int status, List<HeaderField> fields, String attempt, boolean signature, boolean notRun) {
+public record ResponseHead(
+        int status,
+        List<HeaderField> fields,
+        String attempt,
+        boolean signature,
+        boolean notRun,
+        OptionalDouble requestLimit) {
     private static final int OK = 200;
     private static final int REDIRECT = 300;
 
--- a/gateway/src/test/java/org/cicadahead/gateway/FakeEndpoints.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/FakeEndpoints.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.concurrent.CountDownLatch;
 
 /** A fake client whose responses are scripted by a test. */
@@ -15,6 +16,7 @@
         final EndpointListener listener;
         final CountDownLatch ended = new CountDownLatch(1);
         boolean cancelled;
+        OptionalDouble requestLimit = OptionalDouble.empty();
 
         Sent(EndpointRequest request, EndpointListener listener) {
             this.request = request;
@@ -22,7 +24,8 @@
         }
 
         void head(int status, boolean signature, boolean notRun) {
-            listener.head(new ResponseHead(status, List.of(), request.caller().attempt(), signature, notRun));
+            listener.head(
+                    new ResponseHead(status, List.of(), request.caller().attempt(), signature, notRun, requestLimit));
         }
 
         void answer(int status, String body) {
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -8,6 +8,7 @@
 import java.io.PrintStream;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -233,7 +234,7 @@
         send("/safe/x");
         endpoints.last().head(200, false, false);
         assertThat(endpoints.sent).hasSize(2);
-        endpoints.last().listener.head(new ResponseHead(200, List.of(), "other", true, false));
+        endpoints.last().listener.head(new ResponseHead(200, List.of(), "other", true, false, OptionalDouble.empty()));
         assertThat(caller.status).isEqualTo(0);
         assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.ENDPOINT_LOST);
     }
@@ -394,7 +395,10 @@
     @Test
     void ignoresTheStatementOfACopyThatTheRequestDidNotRun() {
         send("/once/x");
-        endpoints.last().listener.head(new ResponseHead(503, List.of(), "earlier", false, true));
+        endpoints
+                .last()
+                .listener
+                .head(new ResponseHead(503, List.of(), "earlier", false, true, OptionalDouble.empty()));
         assertThat(endpoints.sent).hasSize(1);
         assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.ENDPOINT_LOST);
     }
