Keep the request limits that endpoints state, over all entries together

Cause: the stated limit was passed on to callers and had no effect on the choice of an endpoint. The class of fault is a bound that holds for all senders together and that no sender applies. Change: a response names the limit of its endpoint from then on until a later request is answered without one. Entries divide a limit without messages: the names of all entries, which the hubs report, give each endpoint an order of entries; as many as the limit bears hold a share as a token bucket, the others take turns in a slow probe. An endpoint without a token is not chosen; if no other is left, a request waits for at most 150 ms and is then refused as not run with the time of the next token.

--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
@@ -47,6 +48,12 @@
      */
     private static final long OVERLOAD_RETRY_MILLIS = 150;
 
+    /**
+     * The maximum total wait of a request that has not run for the request limits of endpoints, in milliseconds. A
+     * caller that is refused instead returns later than that.
+     */
+    private static final long MAX_LIMIT_WAIT_MILLIS = 150;
+
     private final RequestScope scope;
     private final AdmittedRequest admitted;
     private final byte[] body;
@@ -62,6 +69,7 @@
     private int currentAttempt;
     private int possibleRuns;
     private int rejections;
+    private long limitWaitMillis;
     private long lastEventId;
     private long tokens;
 
@@ -115,7 +123,7 @@
                     .selector()
                     .place(admitted.service().name(), admitted.placementKey(), triedEndpoints, now);
             if (placement == null) {
-                refuseWithoutEndpoint();
+                waitForCapacity(now, leftMillis);
                 return;
             }
             triedEndpoints.add(placement.record().id());
@@ -151,6 +159,29 @@
         }
     }
 
+    /**
+     * Sends the request later if only the request limits of endpoints prevent it now, and the wait is short or the
+     * request has already been at an endpoint. Otherwise refuses it.
+     */
+    private void waitForCapacity(long now, long leftMillis) {
+        OptionalLong delay =
+                scope.context().selector().limitDelayMillis(admitted.service().name(), triedEndpoints, now);
+        if (delay.isEmpty()) {
+            refuseWithoutEndpoint();
+            return;
+        }
+        long delayMillis = Math.max(1, delay.getAsLong());
+        long maxWaitMillis = possibleRuns > 0 ? leftMillis : MAX_LIMIT_WAIT_MILLIS;
+        if (limitWaitMillis + delayMillis <= maxWaitMillis && delayMillis <= leftMillis - MIN_SEND_MILLIS) {
+            limitWaitMillis += delayMillis;
+            scope.context().timer().schedule(this::send, delayMillis, TimeUnit.MILLISECONDS);
+        } else if (possibleRuns == 0) {
+            refuse(RefusalReason.ENDPOINT_OVERLOADED, delayMillis);
+        } else {
+            refuse(RefusalReason.ENDPOINT_LOST, 0);
+        }
+    }
+
     private void refuseWithoutEndpoint() {
         if (rejections > 0 && possibleRuns == 0) {
             refuse(RefusalReason.ENDPOINT_OVERLOADED, OVERLOAD_RETRY_MILLIS);
@@ -298,6 +329,10 @@
                 if (isCurrent()) {
                     RetryReason reason = relay.checkHead(
                             head, possibleRuns < admitted.route().maxAttempts());
+                    if (reason == null || reason.isAnswered()) {
+                        placement.limitStated(
+                                head.requestLimit(), scope.context().nowMillis());
+                    }
                     if (reason != null) {
                         retry(reason);
                     } else if (relay.isStream()) {
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointSelector.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointSelector.java
@@ -2,14 +2,18 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.cicadahead.fleet.EndpointPhase;
 import org.cicadahead.fleet.EndpointRecord;
 import org.cicadahead.fleet.FleetUpdate;
 import org.cicadahead.placement.EndpointRegistry;
+import org.cicadahead.placement.EntryGroup;
 import org.cicadahead.placement.KnownEndpoint;
 import org.cicadahead.placement.PlacementPolicy;
 import org.cicadahead.placement.PlacementRequest;
+import org.jboss.logging.Logger;
 
 /** Selects endpoints for the requests of an entry. Thread-safe; takes no other lock while it holds its own. */
 final class EndpointSelector {
@@ -18,13 +22,17 @@
 
     private static final double MIN_MEAN_MILLIS = 1;
 
+    private static final Logger LOG = Logger.getLogger("cicadahead.gateway");
+
     private final String zone;
     private final Map<String, Double> meanMillisByRoute = new HashMap<>();
     private final EndpointRegistry registry;
     private final PlacementPolicy policy;
+    private final EntryGroup entries;
 
-    EndpointSelector(String zone, long heartbeatIntervalMillis) {
+    EndpointSelector(String entry, String zone, long heartbeatIntervalMillis) {
         this.zone = zone;
+        this.entries = EntryGroup.of(entry);
         this.registry = EndpointRegistry.create(heartbeatIntervalMillis);
         this.policy = PlacementPolicy.over(registry);
     }
@@ -35,31 +43,62 @@
         registry.evictExpired(nowMillis);
     }
 
+    /** Replaces the names of the entries with which this one shares the request limits of endpoints. */
+    synchronized void updateEntries(Set<String> names, long nowMillis, long wallMillis) {
+        entries.update(names, nowMillis, wallMillis);
+    }
+
     /** Chooses an endpoint and counts the request as in flight there; returns null if none is available. */
     synchronized Placement place(String service, String key, Set<String> excluded, long nowMillis) {
         KnownEndpoint chosen = policy.choose(new PlacementRequest(service, key, zone, excluded), nowMillis);
         if (chosen == null) {
             return null;
         }
-        chosen.requestStarted();
-        return new Placement(chosen, chosen.record());
+        chosen.requestStarted(nowMillis);
+        return new Placement(chosen, chosen.record(), nowMillis);
+    }
+
+    /**
+     * Returns the time after which an endpoint whose request limit is used up accepts a request, in milliseconds; empty
+     * if there is no such endpoint.
+     */
+    synchronized OptionalLong limitDelayMillis(String service, Set<String> excluded, long nowMillis) {
+        return policy.limitDelayMillis(new PlacementRequest(service, "", zone, excluded), nowMillis);
     }
 
     /** A request in flight at an endpoint. Only the first call that ends it has an effect. */
     final class Placement {
         private final KnownEndpoint endpoint;
         private final EndpointRecord record;
+        private final long sentMillis;
         private boolean ended;
 
-        Placement(KnownEndpoint endpoint, EndpointRecord record) {
+        Placement(KnownEndpoint endpoint, EndpointRecord record, long sentMillis) {
             this.endpoint = endpoint;
             this.record = record;
+            this.sentMillis = sentMillis;
         }
 
         EndpointRecord record() {
             return record;
         }
 
+        /** Records the request limit that the head of the response states; empty if it states none. */
+        void limitStated(OptionalDouble requestsPerSecond, long nowMillis) {
+            boolean changed;
+            synchronized (EndpointSelector.this) {
+                changed = endpoint.recordLimit(requestsPerSecond, entries, sentMillis, nowMillis);
+            }
+            if (changed) {
+                LOG.infof(
+                        "gateway: Endpoint %s %s",
+                        record.id(),
+                        requestsPerSecond.isPresent()
+                                ? "accepts at most " + requestsPerSecond.getAsDouble() + " requests per second"
+                                : "states no request limit any more");
+            }
+        }
+
         /** Records a complete response; the latency is per event for a stream, else for the whole response. */
         void succeeded(String route, double latencyMillis, long nowMillis) {
             synchronized (EndpointSelector.this) {
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
@@ -75,7 +75,7 @@
     private GatewayNode(GatewayConfig config, EndpointClient endpoints, DecisionLog decisions, MetricRegistry metrics) {
         this.config = config;
         timer.setRemoveOnCancelPolicy(true);
-        selector = new EndpointSelector(config.zone(), config.heartbeatIntervalMillis());
+        selector = new EndpointSelector(config.name(), config.zone(), config.heartbeatIntervalMillis());
         hubs = ControlClient.to(config.hubs().stream().map(Addresses::parse).toList(), catalog, SHARES_ATTEMPT_MILLIS);
         rateLimiter = new RateLimiter(config.name(), this::requestShares, GatewayNode::nowMillis);
         stores = new TurnStores(catalog, timer);
@@ -242,6 +242,7 @@
 
     private void daemonsChanged() {
         stores.setAddresses(watch.daemons(FleetRole.STORE).keySet());
+        selector.updateEntries(watch.names(FleetRole.ENTRY), nowMillis(), System.currentTimeMillis());
         hubs.retarget(watch.hubs().stream().map(Addresses::parse).toList());
     }
 }
--- a/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
@@ -5,32 +5,39 @@
 /** The reason for a retry at another endpoint; determines whether the failed endpoint may have run the request. */
 enum RetryReason {
     /** The endpoint stated that it did not run the request. */
-    REJECTED(false),
+    REJECTED(false, true),
     /** The response comes from another endpoint incarnation, which now listens at the address. */
-    WRONG_INSTANCE(false),
+    WRONG_INSTANCE(false, false),
     /** No connection could be opened. */
-    NOT_SENT(false),
+    NOT_SENT(false, false),
     /** The connection was lost after the request was sent. */
-    LOST(true),
+    LOST(true, false),
     /** The response does not match the request, carries no signature, is incomplete or is too large. */
-    BAD_ANSWER(true),
+    BAD_ANSWER(true, false),
     /** The endpoint responded with a server error. */
-    FAILED(true),
+    FAILED(true, true),
     /** The endpoint did not send the first byte of its response in time. */
-    SLOW(true),
+    SLOW(true, false),
     /** The endpoint sent no further event of a stream for much longer than callers wait. */
-    STALLED(true);
+    STALLED(true, false);
 
     private final boolean mayHaveRun;
+    private final boolean answered;
 
-    RetryReason(boolean mayHaveRun) {
+    RetryReason(boolean mayHaveRun, boolean answered) {
         this.mayHaveRun = mayHaveRun;
+        this.answered = answered;
     }
 
     boolean mayHaveRun() {
         return mayHaveRun;
     }
 
+    /** Returns whether the endpoint itself answered this request, so that its headers can be believed. */
+    boolean isAnswered() {
+        return answered;
+    }
+
     String code() {
         return name().toLowerCase(Locale.ROOT);
     }
--- a/gateway/src/main/java/org/cicadahead/placement/KnownEndpoint.java
+++ b/gateway/src/main/java/org/cicadahead/placement/KnownEndpoint.java
@@ -1,5 +1,6 @@
 package org.cicadahead.placement;
 
+import java.util.OptionalDouble;
 import org.cicadahead.fleet.EndpointRecord;
 
 /**
@@ -37,6 +38,8 @@
     private long avoidedUntilMillis;
     private double latencyRatio = 1;
     private long sampledMillis;
+    private EndpointLimit limit;
+    private long limitStatedMillis;
 
     KnownEndpoint(EndpointRecord record, long nowMillis) {
         this.record = record;
@@ -75,9 +78,16 @@
         return lastHeartbeatMillis;
     }
 
-    /** Counts a request as in flight. */
-    public void requestStarted() {
+    /**
+     * Counts a request as in flight.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void requestStarted(long nowMillis) {
         inFlight++;
+        if (limit != null) {
+            limit.take(nowMillis);
+        }
     }
 
     /** Counts an in-flight request as ended. */
@@ -128,6 +138,37 @@
         avoidedUntilMillis = nowMillis + REJECTION_BACKOFF_MILLIS;
     }
 
+    /**
+     * Records the request limit that a response of the endpoint states. The limit applies until a response to a later
+     * request states none.
+     *
+     * @param requestsPerSecond the number of requests per second that the endpoint accepts from all entries together;
+     *     empty if the response states none
+     * @param entries the entries that share the limit
+     * @param sentMillis the monotonic time at which the request was sent, in milliseconds
+     * @param nowMillis monotonic time in milliseconds
+     * @return true if a limit begins or ends to apply
+     */
+    public boolean recordLimit(OptionalDouble requestsPerSecond, EntryGroup entries, long sentMillis, long nowMillis) {
+        boolean limited = limit != null;
+        if (requestsPerSecond.isPresent()) {
+            limitStatedMillis = nowMillis;
+            if (limit == null) {
+                limit = new EndpointLimit(record.id(), requestsPerSecond.getAsDouble(), entries, nowMillis);
+            } else {
+                limit.update(requestsPerSecond.getAsDouble(), nowMillis);
+            }
+        } else if (sentMillis > limitStatedMillis) {
+            limit = null;
+        }
+        return limited != (limit != null);
+    }
+
+    /** Returns the time until the request limit allows a request, in milliseconds; 0 if it allows one now. */
+    long limitDelayMillis(long nowMillis) {
+        return limit == null ? 0 : limit.delayMillis(nowMillis);
+    }
+
     boolean isEjected(long nowMillis) {
         return nowMillis < ejectedUntilMillis;
     }
--- a/gateway/src/main/java/org/cicadahead/placement/PlacementPolicy.java
+++ b/gateway/src/main/java/org/cicadahead/placement/PlacementPolicy.java
@@ -1,6 +1,7 @@
 package org.cicadahead.placement;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.function.Predicate;
 
 /**
@@ -46,13 +47,32 @@
 
     /**
      * Chooses an endpoint. Ejected endpoints are chosen only if all others are silent or excluded, and silent ones only
-     * if all are silent or excluded.
+     * if all are silent or excluded. An endpoint whose request limit leaves this entry nothing is not chosen.
      *
      * @param request the input of the choice
      * @param nowMillis monotonic time in milliseconds
      * @return the endpoint, or null if there is none
      */
     public KnownEndpoint choose(PlacementRequest request, long nowMillis) {
+        List<KnownEndpoint> usable = usable(request, nowMillis);
+        return best(filter(usable, each -> each.limitDelayMillis(nowMillis) == 0), request, nowMillis);
+    }
+
+    /**
+     * Returns the time until the request limit of an endpoint allows the request, for a request for which
+     * {@link #choose} finds none.
+     *
+     * @param request the input of the choice
+     * @param nowMillis monotonic time in milliseconds
+     * @return the time in milliseconds; empty if there is no endpoint
+     */
+    public OptionalLong limitDelayMillis(PlacementRequest request, long nowMillis) {
+        return usable(request, nowMillis).stream()
+                .mapToLong(each -> each.limitDelayMillis(nowMillis))
+                .min();
+    }
+
+    private List<KnownEndpoint> usable(PlacementRequest request, long nowMillis) {
         List<KnownEndpoint> all = registry.acceptingRequests(request.service());
         all.removeIf(each -> request.excluded().contains(each.record().id()));
         List<KnownEndpoint> healthy =
@@ -60,7 +80,7 @@
         if (healthy.isEmpty()) {
             healthy = filter(all, each -> !registry.isSilent(each, nowMillis));
         }
-        return best(healthy.isEmpty() ? all : healthy, request, nowMillis);
+        return healthy.isEmpty() ? all : healthy;
     }
 
     private static List<KnownEndpoint> filter(List<KnownEndpoint> all, Predicate<KnownEndpoint> condition) {
@@ -117,16 +137,6 @@
     }
 
     private static long rank(KnownEndpoint endpoint, PlacementRequest request) {
-        return mix(mix(request.key().hashCode()) + endpoint.record().id().hashCode());
-    }
-
-    /**
-     * Spreads a hash over all bits (the finalizer of SplitMix64). Without it the endpoints would keep
-     * their order for all keys but for a rotation, and their shares of the keys would be as uneven as their hashes.
-     */
-    private static long mix(long hash) {
-        long mixed = (hash + 0x9E3779B97F4A7C15L) * 0xBF58476D1CE4E5B9L;
-        mixed = (mixed ^ mixed >>> 30) * 0x94D049BB133111EBL;
-        return mixed ^ mixed >>> 31;
+        return Rendezvous.rank(request.key(), endpoint.record().id());
     }
 }
--- a/gateway/src/main/java/org/cicadahead/watch/FleetWatch.java
+++ b/gateway/src/main/java/org/cicadahead/watch/FleetWatch.java
@@ -121,6 +121,20 @@
         return found;
     }
 
+    /**
+     * Returns the names of the daemons of a role that any connected hub reports.
+     *
+     * @param role the role
+     * @return the names
+     */
+    public synchronized Set<String> names(FleetRole role) {
+        Set<String> names = new HashSet<>();
+        for (HubLink link : links.values()) {
+            link.daemons.stream().filter(place -> place.role() == role).forEach(place -> names.add(place.name()));
+        }
+        return names;
+    }
+
     @Override
     public synchronized void close() {
         closed = true;
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -3,111 +3,34 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 
-import com.codahale.metrics.MetricRegistry;
-import java.io.OutputStream;
-import java.io.PrintStream;
 import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import org.cicadahead.fleet.EndpointPhase;
-import org.cicadahead.fleet.EndpointRecord;
-import org.cicadahead.fleet.FleetMessages;
-import org.cicadahead.fleet.FleetUpdate;
-import org.cicadahead.model.KeyDigests;
 import org.cicadahead.model.RefusalReason;
 import org.cicadahead.protocol.Done;
-import org.cicadahead.protocol.MessageCatalog;
-import org.cicadahead.site.CallerLimits;
-import org.cicadahead.site.Repetition;
-import org.cicadahead.site.SiteConfiguration;
-import org.cicadahead.site.SiteIndex;
-import org.cicadahead.site.SiteOrganisation;
-import org.cicadahead.site.SiteRoute;
-import org.cicadahead.site.SiteService;
-import org.cicadahead.site.WeightedService;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Tests the processing of requests with endpoints that fail in different ways. */
 class RequestFlowTest {
-    private static final int MAX_ACTIVE = 12;
-    private static final long MAX_RESPONSE_BYTES = 100_000;
     private static final String EVENT_1 = "id: 1\ndata: d1\n\n";
     private static final String EVENT_2 = "id: 2\ndata: d2\n\n";
 
-    private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1);
-    private final FakeEndpoints endpoints = new FakeEndpoints();
-    private final MetricRegistry metrics = new MetricRegistry();
-    private final EndpointSelector selector = new EndpointSelector("z", 1_000);
+    private final GatewayFixture gateway = new GatewayFixture();
+    private final FakeEndpoints endpoints = gateway.endpoints;
     private final FakeExchange caller = new FakeExchange();
-    private GatewayContext context;
-
-    private static SiteRoute route(String prefix, Repetition repetition, boolean resumable) {
-        return new SiteRoute(
-                prefix,
-                "h",
-                prefix,
-                repetition,
-                resumable,
-                false,
-                60_000,
-                false,
-                prefix.equals("/sticky/"),
-                0,
-                3_000,
-                200,
-                250,
-                2,
-                List.of(new WeightedService("s", 1)));
-    }
-
-    @BeforeEach
-    void configure() {
-        RateLimiter rateLimiter = new RateLimiter(
-                "e",
-                request -> CompletableFuture.failedFuture(new IllegalStateException("none")),
-                GatewayNode::nowMillis);
-        context = new GatewayContext(
-                selector,
-                rateLimiter,
-                new TurnStores(FleetMessages.catalog(MessageCatalog.standard()), timer),
-                endpoints,
-                new GatewayCounters(metrics),
-                DecisionLog.to(new PrintStream(OutputStream.nullOutputStream())),
-                timer,
-                GatewayNode::nowMillis,
-                MAX_ACTIVE,
-                new ResponseMemory(MAX_RESPONSE_BYTES));
-        SiteOrganisation organisation = new SiteOrganisation("o", List.of(KeyDigests.of("k")), 0, 0, null);
-        context.site(SiteIndex.of(new SiteConfiguration(
-                1,
-                List.of(
-                        route("/safe/", Repetition.IDEMPOTENT, false),
-                        route("/once/", Repetition.NON_IDEMPOTENT, false),
-                        route("/sticky/", Repetition.IDEMPOTENT, false),
-                        route("/stream/", Repetition.STREAM, false),
-                        route("/resume/", Repetition.STREAM, true)),
-                List.of(new SiteService("s", "/health", 10, null)),
-                List.of(organisation),
-                CallerLimits.STANDARD)));
-        List<EndpointRecord> ready = List.of("a", "b", "c").stream()
-                .map(id -> new EndpointRecord(id, 0, 1, "s", id + ":1", "z", 4, EndpointPhase.READY, 0))
-                .toList();
-        selector.applyUpdate(new FleetUpdate(null, ready, null, null, "", null), GatewayNode.nowMillis());
-    }
+    private final GatewayContext context = gateway.context;
 
     @AfterEach
     void stop() {
-        timer.shutdownNow();
+        gateway.timer.shutdownNow();
     }
 
     private void send(String path, String key, long timeLeftMillis) {
-        RequestFlow.serve(context, request("attempt", "POST", path, key, timeLeftMillis), caller);
+        RequestFlow.serve(context, GatewayFixture.request("attempt", "POST", path, key, timeLeftMillis), caller);
     }
 
     private void send(String path) {
@@ -163,7 +86,7 @@
      */
     @Test
     void aTurnThatRanAndWasNotKeptIsNotRefusedAsNotRun() {
-        CallerRequest request = request("attempt", "POST", "/stream/x", "k", 1_000);
+        CallerRequest request = GatewayFixture.request("attempt", "POST", "/stream/x", "k", 1_000);
         RequestScope scope = new RequestScope(context, request, caller);
         TurnCompletion lost = new TurnCompletion() {
             @Override
@@ -194,7 +117,7 @@
                 .isNotEqualTo(endpoints.sent.get(0).request.instance());
         endpoints.last().answer(200, "done");
         assertThat(caller.body.toString()).isEqualTo("done");
-        assertThat(metrics.counter("retries.rejected").getCount()).isEqualTo(1);
+        assertThat(gateway.metrics.counter("retries.rejected").getCount()).isEqualTo(1);
     }
 
     /**
@@ -332,49 +255,20 @@
     /** Many requests that arrive together, for example after a freeze of the VM, must not exhaust the heap. */
     @Test
     void refusesRequestsOverItsMemoryLimit() {
-        for (int i = 0; i < MAX_ACTIVE; i++) {
-            RequestFlow.serve(context, safe("f" + i), new FakeExchange());
+        for (int i = 0; i < GatewayFixture.MAX_ACTIVE; i++) {
+            RequestFlow.serve(context, GatewayFixture.safe("f" + i), new FakeExchange());
         }
-        assertThat(endpoints.sent).hasSize(MAX_ACTIVE);
-        RequestFlow.serve(context, safe("more"), caller);
+        assertThat(endpoints.sent).hasSize(GatewayFixture.MAX_ACTIVE);
+        RequestFlow.serve(context, GatewayFixture.safe("more"), caller);
         assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.ENTRY_OVERLOADED);
         assertThat(caller.refusal.reason().notRun()).isTrue();
-        assertThat(endpoints.sent).hasSize(MAX_ACTIVE);
+        assertThat(endpoints.sent).hasSize(GatewayFixture.MAX_ACTIVE);
         endpoints.last().answer(200, "done");
         FakeExchange next = new FakeExchange();
-        RequestFlow.serve(context, safe("next"), next);
+        RequestFlow.serve(context, GatewayFixture.safe("next"), next);
         assertThat(next.refusal).isNull();
     }
 
-    private static CallerRequest safe(String attempt) {
-        return request(attempt, "GET", "/safe/", "k", 1_000);
-    }
-
-    private static CallerRequest request(String attempt, String method, String path, String key, long timeLeftMillis) {
-        return request(attempt, method, path, key, timeLeftMillis, List.of());
-    }
-
-    private static CallerRequest request(
-            String attempt, String method, String path, String key, long timeLeftMillis, List<String> affinity) {
-        return new CallerRequest(
-                attempt,
-                method,
-                path,
-                path,
-                "h",
-                List.of(),
-                new byte[0],
-                key,
-                timeLeftMillis,
-                null,
-                "",
-                List.of(),
-                affinity,
-                0,
-                -1,
-                GatewayNode.nowMillis());
-    }
-
     /** An endpoint incarnation that responds with 421 has been replaced at its address and must not be chosen again. */
     @Test
     void aReplacedIncarnationIsNotChosenAgain() {
@@ -383,7 +277,7 @@
         endpoints.last().head(421, false, true);
         endpoints.last().answer(200, "done");
         for (int i = 0; i < 10; i++) {
-            RequestFlow.serve(context, safe("n" + i), new FakeExchange());
+            RequestFlow.serve(context, GatewayFixture.safe("n" + i), new FakeExchange());
             assertThat(endpoints.last().request.instance()).isNotEqualTo(wrong);
         }
     }
@@ -418,7 +312,7 @@
 
     private String endpointOf(String path, List<String> affinity) {
         FakeExchange exchange = new FakeExchange();
-        RequestFlow.serve(context, request("k", "GET", path, "k", 2_000, affinity), exchange);
+        RequestFlow.serve(context, GatewayFixture.request("k", "GET", path, "k", 2_000, affinity), exchange);
         exchange.disconnectAction.run();
         return endpoints.last().request.instance();
     }
@@ -440,7 +334,8 @@
     void ignoresAnInvalidAffinityKey() {
         endpointOf("/sticky/x", List.of("a", "b"));
         endpointOf("/sticky/x", List.of(""));
-        assertThat(metrics.counter("gateway.affinity_ignored").getCount()).isEqualTo(2);
+        assertThat(gateway.metrics.counter("gateway.affinity_ignored").getCount())
+                .isEqualTo(2);
         assertThat(endpoints.sent).hasSize(2);
     }
 }
--- a/gateway/src/test/java/org/cicadahead/placement/EndpointRegistryTest.java
+++ b/gateway/src/test/java/org/cicadahead/placement/EndpointRegistryTest.java
@@ -115,8 +115,8 @@
         }
         String sessionEngine = choose("session", Set.of(), 10);
         assertThat(choose("session", Set.of(), 10)).isEqualTo(sessionEngine);
-        registry.find(sessionEngine).requestStarted();
-        registry.find(sessionEngine).requestStarted();
+        registry.find(sessionEngine).requestStarted(0);
+        registry.find(sessionEngine).requestStarted(0);
         assertThat(choose("session", Set.of(), 10)).isNotEqualTo(sessionEngine);
     }
 
@@ -129,7 +129,7 @@
             assertThat(choose("session" + i, Set.of(), 10)).isEqualTo("near");
         }
         for (int i = 0; i < 4; i++) {
-            registry.find("near").requestStarted();
+            registry.find("near").requestStarted(0);
         }
         assertThat(choose("session", Set.of(), 10)).isEqualTo("far");
     }
