Show versions and resumed attempts in the line of a request

Change: heartbeats carry the software version to the entries, requests the attempt that they resume; the line names both. No decision uses them yet. Measured: RequestTraceTest; tests of gateway and platform that touch the changed types pass.

--- a/core/src/main/java/org/cicadahead/fleet/EndpointRecord.java
+++ b/core/src/main/java/org/cicadahead/fleet/EndpointRecord.java
@@ -14,6 +14,7 @@
  * @param slots the number of requests that it runs at once
  * @param phase the phase
  * @param coldLeftMillis the remaining warm-up time after the start, in milliseconds
+ * @param softwareVersion the version of its software; empty if it reports none
  */
 public record EndpointRecord(
         String id,
@@ -24,12 +25,14 @@
         String zone,
         int slots,
         EndpointPhase phase,
-        long coldLeftMillis) {
+        long coldLeftMillis,
+        String softwareVersion) {
 
     /**
-     * Validates the values.
+     * Validates the values. A missing software version becomes an empty one, because hubs of earlier releases send
+     * none.
      *
-     * @throws NullPointerException if a text or the phase is null
+     * @throws NullPointerException if another text or the phase is null
      */
     public EndpointRecord {
         Objects.requireNonNull(id, "The id must not be null");
@@ -37,6 +40,7 @@
         Objects.requireNonNull(address, "The address must not be null");
         Objects.requireNonNull(zone, "The zone must not be null");
         Objects.requireNonNull(phase, "The phase must not be null");
+        softwareVersion = softwareVersion == null ? "" : softwareVersion;
     }
 
     /**
@@ -46,6 +50,7 @@
      * @return the copy
      */
     public EndpointRecord withPhase(EndpointPhase next) {
-        return new EndpointRecord(id, bornMillis, sequence, service, address, zone, slots, next, coldLeftMillis);
+        return new EndpointRecord(
+                id, bornMillis, sequence, service, address, zone, slots, next, coldLeftMillis, softwareVersion);
     }
 }
--- a/gateway/src/main/java/org/cicadahead/gateway/CallerRequest.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/CallerRequest.java
@@ -21,6 +21,8 @@
  * @param affinityValues the values of the header that names the object the request concerns, one for each occurrence
  * @param maxTokens the maximum number of tokens to generate; 0 if not given
  * @param lastEventId the id of the last event that the caller has received, if it resumes a stream; -1 otherwise
+ * @param resumedAttempt the caller's attempt that brought the first event of the stream that it resumes; empty if the
+ *     caller names none
  * @param receivedMillis the monotonic time at which the request was read, in milliseconds
  */
 public record CallerRequest(
@@ -39,6 +41,7 @@
         List<String> affinityValues,
         long maxTokens,
         long lastEventId,
+        String resumedAttempt,
         long receivedMillis) {
 
     /**
@@ -54,6 +57,7 @@
         Objects.requireNonNull(host, "The host must not be null");
         Objects.requireNonNull(body, "The body must not be null");
         Objects.requireNonNull(previousTurn, "The previous turn must not be null");
+        Objects.requireNonNull(resumedAttempt, "The resumed attempt must not be null");
         fields = List.copyOf(fields);
         prompt = List.copyOf(prompt);
         affinityValues = List.copyOf(affinityValues);
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -263,7 +263,7 @@
     private void traceAttempt(String outcome, long now) {
         ResponseHead head = relay.head();
         OptionalDouble requestLimit = head == null ? OptionalDouble.empty() : head.requestLimit();
-        scope.trace().attempt(placement.record().id(), outcome, requestLimit, sentMillis, now);
+        scope.trace().attempt(placement.record(), outcome, requestLimit, sentMillis, now);
     }
 
     /** Retries at another endpoint if the route, the attempt limit and the time left allow it. */
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalDouble;
+import org.cicadahead.fleet.EndpointRecord;
 import org.cicadahead.fleet.PriorityClass;
 
 /** Collects the decisions made on one request and formats them as its line in the decision log. Not thread-safe. */
@@ -22,7 +23,7 @@
     private long openedAfterMillis = -1;
 
     private record Attempt(
-            String endpoint, String outcome, OptionalDouble requestLimit, long beganMillis, long endedMillis) {}
+            EndpointRecord endpoint, String outcome, OptionalDouble requestLimit, long beganMillis, long endedMillis) {}
 
     RequestTrace(CallerRequest caller) {
         this.caller = caller;
@@ -45,7 +46,8 @@
         openedAfterMillis = nowMillis - caller.receivedMillis();
     }
 
-    void attempt(String endpoint, String outcome, OptionalDouble requestLimit, long beganMillis, long endedMillis) {
+    void attempt(
+            EndpointRecord endpoint, String outcome, OptionalDouble requestLimit, long beganMillis, long endedMillis) {
         attempts.add(new Attempt(endpoint, outcome, requestLimit, beganMillis, endedMillis));
     }
 
@@ -64,6 +66,10 @@
             if (!caller.previousTurn().isEmpty()) {
                 json.writeStringField("previous", caller.previousTurn());
             }
+            if (caller.lastEventId() >= 0) {
+                json.writeNumberField("last_event", caller.lastEventId());
+                json.writeStringField("resumes", caller.resumedAttempt());
+            }
             if (admitted != null) {
                 json.writeStringField("route", admitted.route().name());
                 json.writeStringField("organisation", admitted.organisationName());
@@ -84,7 +90,8 @@
             json.writeArrayFieldStart("attempts");
             for (Attempt each : attempts) {
                 json.writeStartObject();
-                json.writeStringField("endpoint", each.endpoint);
+                json.writeStringField("endpoint", each.endpoint.id());
+                json.writeStringField("version", each.endpoint.softwareVersion());
                 json.writeStringField("outcome", each.outcome);
                 if (each.requestLimit.isPresent()) {
                     json.writeNumberField("request_limit", each.requestLimit.getAsDouble());
--- a/gateway/src/main/java/org/cicadahead/hub/HubNode.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubNode.java
@@ -154,7 +154,7 @@
      * @param nowMillis monotonic time in milliseconds
      */
     public void recordDeparture(String id, long bornMillis, long nowMillis) {
-        watchers.heartbeat(new EndpointRecord(id, bornMillis, 0, "", "", "", 0, EndpointPhase.GONE, 0), nowMillis);
+        watchers.heartbeat(new EndpointRecord(id, bornMillis, 0, "", "", "", 0, EndpointPhase.GONE, 0, ""), nowMillis);
     }
 
     /**
--- a/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
@@ -61,7 +61,7 @@
                 List.of(organisation),
                 CallerLimits.STANDARD)));
         List<EndpointRecord> ready = List.of("a", "b", "c").stream()
-                .map(id -> new EndpointRecord(id, 0, 1, "s", id + ":1", "z", 4, EndpointPhase.READY, 0))
+                .map(id -> new EndpointRecord(id, 0, 1, "s", id + ":1", "z", 4, EndpointPhase.READY, 0, ""))
                 .toList();
         selector.applyUpdate(new FleetUpdate(null, ready, null, null, "", null), GatewayNode.nowMillis());
     }
@@ -111,6 +111,7 @@
                 affinity,
                 0,
                 -1,
+                "",
                 GatewayNode.nowMillis());
     }
 }
--- a/gateway/src/test/java/org/cicadahead/gateway/ProgramTrackerTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/ProgramTrackerTest.java
@@ -37,6 +37,7 @@
                 List.of(),
                 100,
                 -1,
+                "",
                 0);
         SiteRoute route = new SiteRoute(
                 "r",
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -61,6 +61,7 @@
                         List.of(),
                         0,
                         -1,
+                        "",
                         GatewayNode.nowMillis()),
                 second);
         assertThat(second.refusal.reason()).isEqualTo(RefusalReason.ROUTE_UNKNOWN);
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestTraceTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestTraceTest.java
@@ -4,22 +4,56 @@
 
 import java.util.List;
 import java.util.OptionalDouble;
+import org.cicadahead.fleet.EndpointPhase;
+import org.cicadahead.fleet.EndpointRecord;
 import org.junit.jupiter.api.Test;
 
 /** Tests the line of a request in the decision log, which is all that an on-call engineer has to explain a decision. */
 class RequestTraceTest {
 
+    private static EndpointRecord endpoint(String id, String version) {
+        return new EndpointRecord(id, 0, 1, "s", id + ":1", "z", 4, EndpointPhase.READY, 0, version);
+    }
+
+    private static CallerRequest request(long lastEventId, String resumedAttempt) {
+        return new CallerRequest(
+                "a",
+                "GET",
+                "/",
+                "/",
+                "h",
+                List.of(),
+                new byte[0],
+                null,
+                -1,
+                null,
+                "",
+                List.of(),
+                List.of(),
+                0,
+                lastEventId,
+                resumedAttempt,
+                0);
+    }
+
     /** Without the stated limit, a request sent over it cannot be told from one to an endpoint that states none. */
     @Test
-    void namesTheRequestLimitThatAnEndpointStated() {
-        CallerRequest caller = new CallerRequest(
-                "a", "GET", "/", "/", "h", List.of(), new byte[0], null, -1, null, "", List.of(), List.of(), 0, -1, 0);
-        RequestTrace trace = new RequestTrace(caller);
-        trace.attempt("e1", "rejected", OptionalDouble.of(6.5), 1, 3);
-        trace.attempt("e2", "ok", OptionalDouble.empty(), 4, 9);
-        assertThat(trace.line("answered", 200, 0, 9, 0))
-                .contains("\"attempts\":["
-                        + "{\"endpoint\":\"e1\",\"outcome\":\"rejected\",\"request_limit\":6.5,\"at_ms\":1,\"ms\":2},"
-                        + "{\"endpoint\":\"e2\",\"outcome\":\"ok\",\"at_ms\":4,\"ms\":5}]");
+    void namesTheVersionAndTheRequestLimitOfAnEndpoint() {
+        RequestTrace trace = new RequestTrace(request(-1, ""));
+        trace.attempt(endpoint("e1", "v1"), "rejected", OptionalDouble.of(6.5), 1, 3);
+        trace.attempt(endpoint("e2", "v2"), "ok", OptionalDouble.empty(), 4, 9);
+        String line = trace.line("answered", 200, 0, 9, 0);
+        assertThat(line)
+                .contains("\"attempts\":[{\"endpoint\":\"e1\",\"version\":\"v1\",\"outcome\":\"rejected\","
+                        + "\"request_limit\":6.5,\"at_ms\":1,\"ms\":2},"
+                        + "{\"endpoint\":\"e2\",\"version\":\"v2\",\"outcome\":\"ok\",\"at_ms\":4,\"ms\":5}]");
+        assertThat(line).doesNotContain("resumes");
+    }
+
+    /** Without the resumed attempt, the parts of a stream that two entries have sent cannot be brought together. */
+    @Test
+    void namesTheAttemptThatARequestResumes() {
+        RequestTrace trace = new RequestTrace(request(3, "first"));
+        assertThat(trace.line("streamed", 200, 0, 9, 0)).contains("\"last_event\":3,\"resumes\":\"first\"");
     }
 }
--- a/gateway/src/test/java/org/cicadahead/hub/HubNodeTest.java
+++ b/gateway/src/test/java/org/cicadahead/hub/HubNodeTest.java
@@ -174,7 +174,7 @@
     }
 
     private static EndpointRecord endpoint(EndpointPhase phase, long sequence) {
-        return new EndpointRecord("e1", 100, sequence, "s", "10.0.0.1:80", "z", 4, phase, 0);
+        return new EndpointRecord("e1", 100, sequence, "s", "10.0.0.1:80", "z", 4, phase, 0, "");
     }
 
     private static boolean reports(List<FleetUpdate> updates, EndpointPhase phase) {
--- a/gateway/src/test/java/org/cicadahead/placement/EndpointLimitTest.java
+++ b/gateway/src/test/java/org/cicadahead/placement/EndpointLimitTest.java
@@ -132,7 +132,7 @@
     /** A limit must end with the first response that states none, but not with a late one to an earlier request. */
     @Test
     void theLimitAppliesUntilALaterRequestIsAnsweredWithoutOne() {
-        EndpointRecord record = new EndpointRecord("e", 0, 1, "s", "e:1", "z", 4, EndpointPhase.READY, 0);
+        EndpointRecord record = new EndpointRecord("e", 0, 1, "s", "e:1", "z", 4, EndpointPhase.READY, 0, "");
         KnownEndpoint endpoint = new KnownEndpoint(record, 0);
         EntryGroup alone = EntryGroup.of("a");
         assertThat(endpoint.recordLimit(OptionalDouble.of(2), alone, 90, 100)).isTrue();
--- a/gateway/src/test/java/org/cicadahead/placement/EndpointRegistryTest.java
+++ b/gateway/src/test/java/org/cicadahead/placement/EndpointRegistryTest.java
@@ -18,7 +18,7 @@
     private final PlacementPolicy policy = PlacementPolicy.over(registry);
 
     private static EndpointRecord heartbeat(String id, long born, long sequence, String address, EndpointPhase phase) {
-        return new EndpointRecord(id, born, sequence, "s", address, "z1", 4, phase, 0);
+        return new EndpointRecord(id, born, sequence, "s", address, "z1", 4, phase, 0, "");
     }
 
     private static EndpointRecord ready(String id, long sequence) {
@@ -44,7 +44,7 @@
     @Test
     void aDepartureWithoutDetailsHolds() {
         registry.applyHeartbeat(heartbeat("a", 77, 5, "a:1", EndpointPhase.READY), 0);
-        assertThat(registry.applyHeartbeat(new EndpointRecord("a", 0, 0, "", "", "", 0, EndpointPhase.GONE, 0), 10))
+        assertThat(registry.applyHeartbeat(new EndpointRecord("a", 0, 0, "", "", "", 0, EndpointPhase.GONE, 0, ""), 10))
                 .isTrue();
         assertThat(choose("", Set.of(), 20)).isNull();
     }
@@ -123,7 +123,7 @@
     /** Requests must not cross zones while an endpoint of the entry's zone has free slots. */
     @Test
     void prefersTheOwnZone() {
-        registry.applyHeartbeat(new EndpointRecord("far", 0, 1, "s", "far:1", "z2", 4, EndpointPhase.READY, 0), 0);
+        registry.applyHeartbeat(new EndpointRecord("far", 0, 1, "s", "far:1", "z2", 4, EndpointPhase.READY, 0, ""), 0);
         registry.applyHeartbeat(ready("near", 1), 0);
         for (int i = 0; i < 20; i++) {
             assertThat(choose("session" + i, Set.of(), 10)).isEqualTo("near");
