Resume streams only at the software version that began them

Cause: the version of an endpoint had no part in its choice, and no entry could know at which version another entry, or the same one before a restart, had begun a stream. The class of fault is a continuation whose precondition is neither recorded nor checked. Ruled out: versions mixed up in the registry. Heartbeats of the engines that came back at an address carry a new id. Change: the commit that opens a turn at the stores also records the version of the endpoint that the attempt will probably be sent to, so that it costs no further message; another version is recorded by a further commit before the attempt is sent there. From its first event on a stream is bound to one version. An attempt that resumes a stream reads the versions of the attempt it names in the same commit; if none or several are known, the stream goes on only if all known endpoints of the service share a version. What cannot be resumed is refused as not run (stream_version_unavailable). Streams that belong to no turn are recorded too, and are served without the stores if these do not respond.

--- a/core/src/main/java/org/cicadahead/fleet/OpenTurn.java
+++ b/core/src/main/java/org/cicadahead/fleet/OpenTurn.java
@@ -3,8 +3,9 @@
 import org.cicadahead.protocol.Command;
 
 /**
- * Opens a turn of a program: reserves the tokens that it may generate from the budget and records its input.
- * Idempotent. Answered by {@link TurnOpened}.
+ * Opens a turn of a program: reserves the tokens that it may generate from the budget, and records its input and the
+ * software version of the endpoints that may run it. Idempotent; a repetition with another version adds that version.
+ * Answered by {@link TurnOpened}.
  *
  * @param turn the id of the turn, which is unique to the attempt
  * @param organisation the organisation; empty on open routes
@@ -15,6 +16,9 @@
  * @param input the input, if the turn is kept; null otherwise
  * @param retentionMillis how long the turn and the budget are kept, in milliseconds
  * @param knowsPrevious whether the entry holds the content of the previous turn
+ * @param softwareVersion the version of the endpoints at which the attempt may begin a stream that its caller can
+ *     resume; null if it begins none
+ * @param resumedAttempt the attempt that began the stream that this one resumes; empty or null if it resumes none
  */
 public record OpenTurn(
         String turn,
@@ -25,5 +29,7 @@
         String previous,
         byte[] input,
         long retentionMillis,
-        boolean knowsPrevious)
+        boolean knowsPrevious,
+        String softwareVersion,
+        String resumedAttempt)
         implements Command {}
--- a/core/src/main/java/org/cicadahead/model/RefusalReason.java
+++ b/core/src/main/java/org/cicadahead/model/RefusalReason.java
@@ -86,6 +86,8 @@
     TURN_UNKNOWN(404, "The previous turn does not exist", true, 0),
     /** The stores did not respond, so neither the previous turn nor the budget could be read. */
     STORES_UNAVAILABLE(503, "The stores do not answer", true, 1),
+    /** No endpoint of the software version that began the resumed stream is available. */
+    STREAM_VERSION_UNAVAILABLE(503, "The stream cannot be resumed", true, 0),
     /** The request has crashed endpoints before and is refused temporarily. */
     REQUEST_POISONOUS(422, "The request has crashed endpoints", true, 600),
     /** The caller reads the response too slowly. */
--- a/gateway/src/main/java/org/cicadahead/gateway/AdmittedRequest.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/AdmittedRequest.java
@@ -60,6 +60,16 @@
                 && (keepsTurn() || !caller.previousTurn().isEmpty() || hasBudget());
     }
 
+    /** Returns whether the response is a stream that the caller may resume after it broke off. */
+    boolean isResumable() {
+        return route.repetition().isStreamed() && route.resumable();
+    }
+
+    /** Returns whether the caller resumes a stream that an earlier attempt began. */
+    boolean resumesStream() {
+        return isResumable() && caller.lastEventId() >= 0;
+    }
+
     boolean keepsTurn() {
         return route.keepsTurns();
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -2,12 +2,14 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.cicadahead.model.RefusalReason;
 import org.cicadahead.protocol.Done;
 
@@ -20,6 +22,11 @@
 final class EndpointAttempts implements RequestScope.Stage {
     /** The completion of a request without a tracked turn; does nothing. */
     static final TurnCompletion NO_TURN = new TurnCompletion() {
+        @Override
+        public CompletableFuture<?> recordVersion(String version) {
+            return CompletableFuture.completedFuture(Done.ok());
+        }
+
         @Override
         public void closeIncomplete(long tokens) {
             // There is no turn to close.
@@ -58,6 +65,7 @@
     private final AdmittedRequest admitted;
     private final byte[] body;
     private final TurnCompletion turn;
+    private final StreamVersions versions;
     private final Set<String> triedEndpoints = new HashSet<>();
     private ResponseRelay relay;
     private EndpointSelector.Placement placement;
@@ -73,17 +81,20 @@
     private long lastEventId;
     private long tokens;
 
-    private EndpointAttempts(RequestScope scope, AdmittedRequest admitted, byte[] body, TurnCompletion turn) {
+    private EndpointAttempts(
+            RequestScope scope, AdmittedRequest admitted, byte[] body, TurnCompletion turn, StreamVersions versions) {
         this.scope = scope;
         this.admitted = admitted;
         this.body = body;
         this.turn = turn;
+        this.versions = versions;
         this.lastEventId = admitted.caller().lastEventId();
     }
 
     /** Starts the first attempt of a request. */
-    static void start(RequestScope scope, AdmittedRequest admitted, byte[] body, TurnCompletion turn) {
-        EndpointAttempts attempts = new EndpointAttempts(scope, admitted, body, turn);
+    static void start(
+            RequestScope scope, AdmittedRequest admitted, byte[] body, TurnCompletion turn, StreamVersions versions) {
+        EndpointAttempts attempts = new EndpointAttempts(scope, admitted, body, turn, versions);
         if (scope.enter(attempts)) {
             attempts.send();
         } else {
@@ -119,19 +130,23 @@
                 }
                 return;
             }
-            placement = scope.context()
-                    .selector()
-                    .place(admitted.service().name(), admitted.placementKey(), triedEndpoints, now);
-            if (placement == null) {
+            placement = place(versions.isExtendable(), now);
+            if (placement != null) {
+                begin(now, leftMillis);
+            } else if (versions.isExtendable()) {
+                sendToLikelyVersion(now, leftMillis);
+            } else {
                 waitForCapacity(now, leftMillis);
-                return;
             }
-            triedEndpoints.add(placement.record().id());
-            begin(now, leftMillis);
         }
     }
 
+    private EndpointSelector.Placement place(boolean healthyOnly, long now) {
+        return scope.context().selector().place(admitted, triedEndpoints, versions::allows, healthyOnly, now);
+    }
+
     private void begin(long now, long leftMillis) {
+        triedEndpoints.add(placement.record().id());
         int attempt = ++currentAttempt;
         sentMillis = now;
         possibleRuns++;
@@ -159,13 +174,41 @@
         }
     }
 
+    /**
+     * Sends a stream that has not begun to the best endpoint of any version, and records its version before if need be.
+     */
+    private void sendToLikelyVersion(long now, long leftMillis) {
+        Optional<String> version = scope.context().selector().likelyVersion(admitted, triedEndpoints, now);
+        if (version.isPresent() && versions.allows(version.get())) {
+            placement = place(false, now);
+            if (placement != null) {
+                begin(now, leftMillis);
+                return;
+            }
+        }
+        if (version.isEmpty() || versions.allows(version.get())) {
+            waitForCapacity(now, leftMillis);
+            return;
+        }
+        turn.recordVersion(version.get()).whenComplete((done, failure) -> {
+            synchronized (scope) {
+                if (failure == null) {
+                    versions.add(version.get());
+                    send();
+                } else if (!scope.isDone()) {
+                    refuse(possibleRuns > 0 ? RefusalReason.ENDPOINT_LOST : RefusalReason.STORES_UNAVAILABLE, 0);
+                }
+            }
+        });
+    }
+
     /**
      * Sends the request later if only the request limits of endpoints prevent it now, and the wait is short or the
      * request has already been at an endpoint. Otherwise refuses it.
      */
     private void waitForCapacity(long now, long leftMillis) {
-        OptionalLong delay =
-                scope.context().selector().limitDelayMillis(admitted.service().name(), triedEndpoints, now);
+        Predicate<String> allowed = versions.isExtendable() ? version -> true : versions::allows;
+        OptionalLong delay = scope.context().selector().limitDelayMillis(admitted, triedEndpoints, allowed, now);
         if (delay.isEmpty()) {
             refuseWithoutEndpoint();
             return;
@@ -185,6 +228,8 @@
     private void refuseWithoutEndpoint() {
         if (rejections > 0 && possibleRuns == 0) {
             refuse(RefusalReason.ENDPOINT_OVERLOADED, OVERLOAD_RETRY_MILLIS);
+        } else if (possibleRuns == 0 && admitted.resumesStream()) {
+            refuse(RefusalReason.STREAM_VERSION_UNAVAILABLE, 0);
         } else {
             refuse(possibleRuns > 0 ? RefusalReason.ENDPOINT_LOST : RefusalReason.NO_ENDPOINT, OVERLOAD_RETRY_MILLIS);
         }
@@ -350,6 +395,9 @@
                 }
                 List<StreamEvent> newEvents = relay.processData(data);
                 lastEventId = relay.lastEventId();
+                if (!newEvents.isEmpty()) {
+                    versions.bind(placement.record().softwareVersion());
+                }
                 for (StreamEvent event : newEvents) {
                     if (event.hasData()) {
                         progress.eventReceived(scope.context().nowMillis());
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointSelector.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointSelector.java
@@ -2,9 +2,11 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.cicadahead.fleet.EndpointPhase;
 import org.cicadahead.fleet.EndpointRecord;
 import org.cicadahead.fleet.FleetUpdate;
@@ -48,9 +50,19 @@
         entries.update(names, nowMillis, wallMillis);
     }
 
-    /** Chooses an endpoint and counts the request as in flight there; returns null if none is available. */
-    synchronized Placement place(String service, String key, Set<String> excluded, long nowMillis) {
-        KnownEndpoint chosen = policy.choose(new PlacementRequest(service, key, zone, excluded), nowMillis);
+    /**
+     * Chooses an endpoint and counts the request as in flight there; returns null if none is available.
+     *
+     * @param versions accepts the software versions that the endpoint may have
+     * @param healthyOnly whether an ejected or silent endpoint must not be chosen even if there is no other
+     */
+    synchronized Placement place(
+            AdmittedRequest request,
+            Set<String> excluded,
+            Predicate<String> versions,
+            boolean healthyOnly,
+            long nowMillis) {
+        KnownEndpoint chosen = policy.choose(placementRequest(request, excluded, versions, healthyOnly), nowMillis);
         if (chosen == null) {
             return null;
         }
@@ -58,12 +70,33 @@
         return new Placement(chosen, chosen.record(), nowMillis);
     }
 
+    /**
+     * Returns the software version of the endpoint that would be chosen now; empty if none is available.
+     */
+    synchronized Optional<String> likelyVersion(AdmittedRequest request, Set<String> excluded, long nowMillis) {
+        KnownEndpoint chosen = policy.choose(placementRequest(request, excluded, version -> true, false), nowMillis);
+        return Optional.ofNullable(chosen).map(each -> each.record().softwareVersion());
+    }
+
+    /** Returns the software version that all known endpoints of a service share; empty if there are several or none. */
+    synchronized Optional<String> onlyVersion(String service) {
+        Set<String> versions = registry.softwareVersions(service);
+        return versions.size() == 1 ? Optional.of(versions.iterator().next()) : Optional.empty();
+    }
+
     /**
      * Returns the time after which an endpoint whose request limit is used up accepts a request, in milliseconds; empty
      * if there is no such endpoint.
      */
-    synchronized OptionalLong limitDelayMillis(String service, Set<String> excluded, long nowMillis) {
-        return policy.limitDelayMillis(new PlacementRequest(service, "", zone, excluded), nowMillis);
+    synchronized OptionalLong limitDelayMillis(
+            AdmittedRequest request, Set<String> excluded, Predicate<String> versions, long nowMillis) {
+        return policy.limitDelayMillis(placementRequest(request, excluded, versions, false), nowMillis);
+    }
+
+    private PlacementRequest placementRequest(
+            AdmittedRequest request, Set<String> excluded, Predicate<String> versions, boolean healthyOnly) {
+        return new PlacementRequest(
+                request.service().name(), request.placementKey(), zone, excluded, versions, healthyOnly);
     }
 
     /** A request in flight at an endpoint. Only the first call that ends it has an effect. */
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
@@ -56,10 +56,11 @@
         }
         scope.trace().rateAdmitted(scope.context().nowMillis());
         scope.context().programs().markStarted(admitted);
-        if (admitted.isTurn()) {
+        if (admitted.isTurn() || admitted.isResumable()) {
             TurnSession.open(scope, admitted);
         } else {
-            EndpointAttempts.start(scope, admitted, admitted.caller().body(), EndpointAttempts.NO_TURN);
+            EndpointAttempts.start(
+                    scope, admitted, admitted.caller().body(), EndpointAttempts.NO_TURN, StreamVersions.any());
         }
     }
 }
--- a/gateway/src/main/java/org/cicadahead/gateway/TurnSession.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/TurnSession.java
@@ -1,6 +1,9 @@
 package org.cicadahead.gateway;
 
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import org.cicadahead.fleet.CloseTurn;
 import org.cicadahead.fleet.OpenTurn;
 import org.cicadahead.fleet.TurnOpened;
@@ -40,7 +43,31 @@
         byte[] cachedHistory = caller.previousTurn().isEmpty()
                 ? null
                 : scope.context().turnTexts().find(caller.previousTurn());
-        OpenTurn open = new OpenTurn(
+        Optional<String> version = session.versionToRecord();
+        scope.context()
+                .stores()
+                .open(session.openTurn(version, cachedHistory != null), session.openTimeoutMillis())
+                .whenComplete((opened, failure) -> {
+                    if (failure == null) {
+                        session.opened(opened, cachedHistory, version);
+                    } else {
+                        session.notOpened(version);
+                    }
+                });
+    }
+
+    /** Returns the version of the endpoint that the request will probably be sent to, if it begins a stream there. */
+    private Optional<String> versionToRecord() {
+        return admitted.isResumable() && !admitted.resumesStream()
+                ? scope.context()
+                        .selector()
+                        .likelyVersion(admitted, Set.of(), scope.context().nowMillis())
+                : Optional.empty();
+    }
+
+    private OpenTurn openTurn(Optional<String> version, boolean knowsPrevious) {
+        CallerRequest caller = admitted.caller();
+        return new OpenTurn(
                 caller.attempt(),
                 admitted.organisationName(),
                 admitted.program(),
@@ -49,18 +76,33 @@
                 caller.previousTurn(),
                 admitted.keepsTurn() ? caller.body() : null,
                 admitted.route().retentionMillis(),
-                cachedHistory != null);
-        long timeout = Math.min(
-                OPEN_TIMEOUT_MILLIS, admitted.leftMillis(scope.context().nowMillis()) - RESERVED_RUN_MILLIS);
-        scope.context().stores().open(open, Math.max(1, timeout)).whenComplete((opened, failure) -> {
-            if (failure != null) {
-                session.closeIncomplete(0);
-                scope.context().rateLimiter().refund(admitted.organisation());
-                scope.refuse(RefusalReason.STORES_UNAVAILABLE);
-            } else {
-                session.opened(opened, cachedHistory);
-            }
-        });
+                knowsPrevious,
+                version.orElse(null),
+                admitted.resumesStream() ? caller.resumedAttempt() : "");
+    }
+
+    private long openTimeoutMillis() {
+        long leftMillis = admitted.leftMillis(scope.context().nowMillis());
+        return Math.max(1, Math.min(OPEN_TIMEOUT_MILLIS, leftMillis - RESERVED_RUN_MILLIS));
+    }
+
+    /**
+     * Handles stores that did not confirm the turn. A stream that is not a turn is served all the same, but only by
+     * endpoints of the version that the stores may have recorded.
+     */
+    private void notOpened(Optional<String> version) {
+        if (!admitted.isTurn() && version.isPresent()) {
+            sendToEndpoint(null, StreamVersions.only(version.get()));
+            return;
+        }
+        closeIncomplete(0);
+        scope.context().rateLimiter().refund(admitted.organisation());
+        scope.refuse(RefusalReason.STORES_UNAVAILABLE);
+    }
+
+    @Override
+    public CompletableFuture<?> recordVersion(String version) {
+        return scope.context().stores().open(openTurn(Optional.of(version), true), openTimeoutMillis());
     }
 
     @Override
@@ -106,10 +148,12 @@
         });
     }
 
-    private void opened(TurnOpened opened, byte[] cachedHistory) {
+    private void opened(TurnOpened opened, byte[] cachedHistory, Optional<String> recordedVersion) {
         scope.trace().opened(scope.context().nowMillis());
         if (opened.verdict() == TurnOpened.Verdict.OPEN) {
-            sendToEndpoint(opened.history() == null ? cachedHistory : opened.history());
+            byte[] history = opened.history() == null ? cachedHistory : opened.history();
+            streamVersions(opened, recordedVersion)
+                    .ifPresentOrElse(versions -> sendToEndpoint(history, versions), this::refuseUnknownVersion);
         } else {
             scope.context().rateLimiter().refund(admitted.organisation());
             boolean budgetExhausted = opened.verdict() == TurnOpened.Verdict.BUDGET_SPENT;
@@ -117,7 +161,29 @@
         }
     }
 
-    private void sendToEndpoint(byte[] history) {
+    /** Returns the versions that may serve the request; empty if it resumes a stream of an unknown version. */
+    private Optional<StreamVersions> streamVersions(TurnOpened opened, Optional<String> recordedVersion) {
+        if (!admitted.isResumable()) {
+            return Optional.of(StreamVersions.any());
+        }
+        if (!admitted.resumesStream()) {
+            return Optional.of(
+                    StreamVersions.ofNewStream(recordedVersion.stream().collect(Collectors.toSet())));
+        }
+        Set<String> began = opened.resumedVersions();
+        Optional<String> only = began.isEmpty()
+                ? scope.context().selector().onlyVersion(admitted.service().name())
+                : began.stream().filter(version -> began.size() == 1).findFirst();
+        return only.map(StreamVersions::only);
+    }
+
+    private void refuseUnknownVersion() {
+        closeIncomplete(0);
+        scope.context().rateLimiter().refund(admitted.organisation());
+        scope.refuse(RefusalReason.STREAM_VERSION_UNAVAILABLE);
+    }
+
+    private void sendToEndpoint(byte[] history, StreamVersions versions) {
         CallerRequest caller = admitted.caller();
         if (history == null && !caller.previousTurn().isEmpty()) {
             closeIncomplete(0);
@@ -125,7 +191,7 @@
             return;
         }
         prompt = history == null ? caller.body() : concat(history, caller.body());
-        EndpointAttempts.start(scope, admitted, prompt, this);
+        EndpointAttempts.start(scope, admitted, prompt, this, versions);
     }
 
     private CloseTurn close(long tokens, byte[] output) {
--- a/gateway/src/main/java/org/cicadahead/placement/EndpointRegistry.java
+++ b/gateway/src/main/java/org/cicadahead/placement/EndpointRegistry.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.cicadahead.fleet.EndpointPhase;
 import org.cicadahead.fleet.EndpointRecord;
 
@@ -133,6 +134,20 @@
         return acceptingRequests;
     }
 
+    /**
+     * Returns the software versions of a service.
+     *
+     * @param service the name of the service
+     * @return the versions of all its known endpoints, including departed ones that are still remembered
+     */
+    public Set<String> softwareVersions(String service) {
+        return endpoints.values().stream()
+                .map(KnownEndpoint::record)
+                .filter(record -> record.service().equals(service))
+                .map(EndpointRecord::softwareVersion)
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Returns whether an endpoint has missed {@link #SILENT_INTERVALS} heartbeats.
      *
@@ -160,6 +175,7 @@
                 || !before.service().equals(after.service())
                 || !before.zone().equals(after.zone())
                 || before.slots() != after.slots()
+                || !before.softwareVersion().equals(after.softwareVersion())
                 || before.coldLeftMillis() > 0;
     }
 
--- a/gateway/src/main/java/org/cicadahead/placement/PlacementPolicy.java
+++ b/gateway/src/main/java/org/cicadahead/placement/PlacementPolicy.java
@@ -74,9 +74,13 @@
 
     private List<KnownEndpoint> usable(PlacementRequest request, long nowMillis) {
         List<KnownEndpoint> all = registry.acceptingRequests(request.service());
-        all.removeIf(each -> request.excluded().contains(each.record().id()));
+        all.removeIf(each -> request.excluded().contains(each.record().id())
+                || !request.softwareVersion().test(each.record().softwareVersion()));
         List<KnownEndpoint> healthy =
                 filter(all, each -> !each.isEjected(nowMillis) && !registry.isSilent(each, nowMillis));
+        if (request.healthyOnly()) {
+            return healthy;
+        }
         if (healthy.isEmpty()) {
             healthy = filter(all, each -> !registry.isSilent(each, nowMillis));
         }
--- a/gateway/src/main/java/org/cicadahead/store/StoreService.java
+++ b/gateway/src/main/java/org/cicadahead/store/StoreService.java
@@ -57,7 +57,8 @@
                     && !request.previous().isEmpty()
                     && !request.knowsPrevious();
             return needsHistory
-                    ? new TurnOpened(opened.verdict(), serving.machine.history(request.previous()))
+                    ? new TurnOpened(
+                            opened.verdict(), serving.machine.history(request.previous()), opened.resumedVersions())
                     : opened;
         }));
     }
--- a/gateway/src/main/java/org/cicadahead/store/TurnStateMachine.java
+++ b/gateway/src/main/java/org/cicadahead/store/TurnStateMachine.java
@@ -2,6 +2,7 @@
 
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -14,6 +15,7 @@
 import org.cicadahead.replication.StateMachine;
 import org.cicadahead.replication.StateSnapshot;
 import org.cicadahead.turns.BudgetRow;
+import org.cicadahead.turns.StreamRow;
 import org.cicadahead.turns.TurnImage;
 import org.cicadahead.turns.TurnRow;
 import org.cicadahead.turns.TurnTable;
@@ -27,7 +29,9 @@
     @Override
     public synchronized Message apply(long index, long leaderMillis, Command command) throws IOException {
         if (command instanceof OpenTurn open) {
-            return new TurnOpened(table.open(open, leaderMillis), null);
+            TurnOpened.Verdict verdict = table.open(open, leaderMillis);
+            return new TurnOpened(
+                    verdict, null, table.streamVersions(open.organisation(), open.resumedAttempt(), leaderMillis));
         }
         if (command instanceof CloseTurn close) {
             table.close(close, leaderMillis);
@@ -68,12 +72,25 @@
             for (int i = 0; i < budgets; i++) {
                 restored.restore(read(data, BudgetRow.class));
             }
+            int streams = readCountOrZero(data);
+            for (int i = 0; i < streams; i++) {
+                restored.restore(read(data, StreamRow.class));
+            }
         } catch (WireException e) {
             throw new IOException("the snapshot cannot be read", e);
         }
         table = restored;
     }
 
+    /** Returns 0 at the end of the data, where a snapshot of an earlier release ends. */
+    private static int readCountOrZero(DataInputStream data) throws IOException {
+        try {
+            return data.readInt();
+        } catch (EOFException e) {
+            return 0;
+        }
+    }
+
     private static <T> T read(DataInputStream data, Class<T> type) throws IOException, WireException {
         byte[] row = new byte[data.readInt()];
         data.readFully(row);
@@ -96,6 +113,10 @@
             for (BudgetRow row : image.budgets()) {
                 write(data, row);
             }
+            data.writeInt(image.streams().size());
+            for (StreamRow row : image.streams()) {
+                write(data, row);
+            }
             data.flush();
         }
 
--- a/gateway/src/main/java/org/cicadahead/turns/TurnImage.java
+++ b/gateway/src/main/java/org/cicadahead/turns/TurnImage.java
@@ -7,12 +7,14 @@
  *
  * @param turns the kept turns
  * @param budgets the budgets
+ * @param streams the streams with the versions at which they may have begun
  */
-public record TurnImage(List<TurnRow> turns, List<BudgetRow> budgets) {
+public record TurnImage(List<TurnRow> turns, List<BudgetRow> budgets, List<StreamRow> streams) {
 
     /** Copies the lists. */
     public TurnImage {
         turns = List.copyOf(turns);
         budgets = List.copyOf(budgets);
+        streams = List.copyOf(streams);
     }
 }
--- a/gateway/src/main/java/org/cicadahead/turns/TurnTable.java
+++ b/gateway/src/main/java/org/cicadahead/turns/TurnTable.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.cicadahead.fleet.CloseTurn;
 import org.cicadahead.fleet.OpenTurn;
 import org.cicadahead.fleet.TurnOpened.Verdict;
@@ -27,6 +28,7 @@
 
     private final Map<String, KeptTurn> turns = new HashMap<>();
     private final Map<List<String>, ProgramBudget> budgets = new HashMap<>();
+    private final StreamTable streams = new StreamTable();
     private long lastSweepMillis;
 
     private TurnTable() {}
@@ -73,9 +75,24 @@
                             request.retentionMillis()));
         }
         extendChain(request.previous(), keepUntilMillis);
+        if (request.softwareVersion() != null) {
+            streams.record(request.organisation(), request.turn(), request.softwareVersion(), nowMillis);
+        }
         return Verdict.OPEN;
     }
 
+    /**
+     * Returns the software versions at which an attempt may have begun a stream.
+     *
+     * @param organisation the organisation that resumes the stream; empty on open routes
+     * @param attempt the id of the attempt; null or empty if no stream is resumed
+     * @param nowMillis the log time in milliseconds
+     * @return the versions; empty if they are not known
+     */
+    public Set<String> streamVersions(String organisation, String attempt, long nowMillis) {
+        return attempt == null || attempt.isEmpty() ? Set.of() : streams.versions(organisation, attempt, nowMillis);
+    }
+
     /**
      * Closes a turn.
      *
@@ -169,7 +186,7 @@
         List<BudgetRow> budgetRows = new ArrayList<>();
         budgets.forEach((key, budget) -> budgetRows.add(new BudgetRow(
                 key.get(0), key.get(1), budget.openTurns(), budget.closedTurns(), budget.keptUntilMillis())));
-        return new TurnImage(turnRows, budgetRows);
+        return new TurnImage(turnRows, budgetRows, List.copyOf(streams.rows()));
     }
 
     /**
@@ -200,6 +217,15 @@
                 ProgramBudget.of(row.open(), row.closed(), row.keptUntilMillis()));
     }
 
+    /**
+     * Restores the versions of a stream from a snapshot.
+     *
+     * @param row the stream
+     */
+    public void restore(StreamRow row) {
+        streams.restore(row);
+    }
+
     private ProgramBudget budget(List<String> program, long nowMillis) {
         ProgramBudget budget = budgets.get(program);
         if (budget == null || budget.keptUntilMillis() < nowMillis) {
@@ -241,5 +267,6 @@
         lastSweepMillis = nowMillis;
         turns.values().removeIf(turn -> turn.keptUntilMillis() < nowMillis);
         budgets.values().removeIf(budget -> budget.keptUntilMillis() < nowMillis);
+        streams.removeExpired(nowMillis);
     }
 }
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -90,6 +90,11 @@
         CallerRequest request = GatewayFixture.request("attempt", "POST", "/stream/x", "k", 1_000);
         RequestScope scope = new RequestScope(context, request, caller);
         TurnCompletion lost = new TurnCompletion() {
+            @Override
+            public CompletableFuture<?> recordVersion(String version) {
+                return CompletableFuture.completedFuture(Done.ok());
+            }
+
             @Override
             public void closeIncomplete(long tokens) {}
 
@@ -99,7 +104,7 @@
             }
         };
         AdmittedRequest admitted = assertDoesNotThrow(() -> Admission.admit(request, context.site()));
-        EndpointAttempts.start(scope, admitted, new byte[0], lost);
+        EndpointAttempts.start(scope, admitted, new byte[0], lost, StreamVersions.any());
         endpoints.last().head(200, true, false);
         endpoints.last().listener.end();
         assertThat(caller.refusal.reason().notRun()).isFalse();
--- a/gateway/src/test/java/org/cicadahead/placement/EndpointRegistryTest.java
+++ b/gateway/src/test/java/org/cicadahead/placement/EndpointRegistryTest.java
@@ -26,7 +26,8 @@
     }
 
     private String choose(String session, Set<String> excluded, long now) {
-        KnownEndpoint chosen = policy.choose(new PlacementRequest("s", session, "z1", excluded), now);
+        KnownEndpoint chosen =
+                policy.choose(new PlacementRequest("s", session, "z1", excluded, version -> true, false), now);
         return chosen == null ? null : chosen.record().id();
     }
 
--- a/gateway/src/test/java/org/cicadahead/turns/TurnTableTest.java
+++ b/gateway/src/test/java/org/cicadahead/turns/TurnTableTest.java
@@ -24,7 +24,17 @@
     private Verdict open(String turn, String organisation, String previous, long budget, long max, long now) {
         return table.open(
                 new OpenTurn(
-                        turn, organisation, "p", budget, max, previous, bytes("in-" + turn + ";"), RETENTION, false),
+                        turn,
+                        organisation,
+                        "p",
+                        budget,
+                        max,
+                        previous,
+                        bytes("in-" + turn + ";"),
+                        RETENTION,
+                        false,
+                        null,
+                        ""),
                 now);
     }
 
@@ -121,7 +131,7 @@
         TurnTable each = TurnTable.create();
         long sentTokens = 0;
         for (int turn = 0; turn < 100; turn++) {
-            OpenTurn open = new OpenTurn("t" + turn, "o", "p", 3_000, 560, "", null, RETENTION, false);
+            OpenTurn open = new OpenTurn("t" + turn, "o", "p", 3_000, 560, "", null, RETENTION, false, null, "");
             if (each.open(open, turn) == Verdict.OPEN) {
                 long tokens = random.nextInt(561);
                 sentTokens += tokens;
@@ -146,7 +156,35 @@
         table.image().turns().forEach(restored::restore);
         table.image().budgets().forEach(restored::restore);
         assertThat(restored.history("a")).isEqualTo(table.history("a"));
-        OpenTurn third = new OpenTurn("c", "o", "p", 1_000, 560, "", null, RETENTION, false);
+        OpenTurn third = new OpenTurn("c", "o", "p", 1_000, 560, "", null, RETENTION, false, null, "");
         assertThat(restored.open(third, 3)).isEqualTo(Verdict.BUDGET_SPENT);
     }
+
+    private void begin(String attempt, String organisation, String version, long now) {
+        table.open(new OpenTurn(attempt, organisation, "", -1, 0, "", null, RETENTION, false, version, ""), now);
+    }
+
+    /** A stream must not be resumed at a version that it did not begin at, nor by another organisation. */
+    @Test
+    void knowsTheVersionsAtWhichAStreamMayHaveBegun() {
+        begin("a", "o", "v1", 0);
+        begin("a", "o", "v1", 1);
+        assertThat(table.streamVersions("o", "a", 2)).containsExactly("v1");
+        assertThat(table.streamVersions("other", "a", 2)).isEmpty();
+        assertThat(table.streamVersions("o", "b", 2)).isEmpty();
+        assertThat(table.streamVersions("o", "", 2)).isEmpty();
+        begin("a", "o", "v2", 3);
+        assertThat(table.streamVersions("o", "a", 4)).containsExactly("v1", "v2");
+    }
+
+    /** Versions must expire, or the table would grow with each stream; a store without the row must agree. */
+    @Test
+    void forgetsTheVersionOfAStreamAfterItsRetention() {
+        begin("a", "o", "v1", 0);
+        assertThat(table.streamVersions("o", "a", StreamTable.RETENTION_MILLIS)).containsExactly("v1");
+        assertThat(table.streamVersions("o", "a", StreamTable.RETENTION_MILLIS + 1))
+                .isEmpty();
+        begin("b", "o", "v1", StreamTable.RETENTION_MILLIS + TurnTable.SWEEP_INTERVAL_MILLIS);
+        assertThat(table.image().streams()).hasSize(1);
+    }
 }
