Keep the whole output of a turn whose stream went on at another endpoint

Cause: the output that the stores keep was that of the last attempt alone, so a turn on a route that both keeps turns and resumes streams lost what an earlier endpoint had sent. Found by looking for the cause of the joined streams elsewhere: a continuation that does not know what came before. Change: an attempt takes over what the one before has passed on. A caller's attempt to resume a kept turn is refused as not run, because the part that the earlier attempt sent is not stored.

--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -150,7 +150,8 @@
         int attempt = ++currentAttempt;
         sentMillis = now;
         possibleRuns++;
-        relay = ResponseRelay.create(admitted, lastEventId, scope.context().responseMemory());
+        ResponseMemory memory = scope.context().responseMemory();
+        relay = relay == null ? ResponseRelay.create(admitted, lastEventId, memory) : relay.next(memory);
         cancellation = null;
         boolean repeatable = admitted.route().mayRepeat();
         EndpointRequest request = new EndpointRequest(
--- a/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
@@ -36,6 +36,13 @@
         return new ResponseRelay(admitted, lastEventId, memory.newHolding());
     }
 
+    /** Returns the relay of a further attempt, which continues the stream where this one broke off. */
+    ResponseRelay next(ResponseMemory responseMemory) {
+        ResponseRelay next = create(admitted, lastEventId, responseMemory);
+        next.output.writeBytes(output.toByteArray());
+        return next;
+    }
+
     /** Checks the response head; returns the reason to retry at another endpoint, or null to accept the response. */
     RetryReason checkHead(ResponseHead received, boolean attemptsLeft) {
         head = received;
@@ -123,6 +130,7 @@
         return bodyBuffer.toByteArray();
     }
 
+    /** Returns the data of all events passed on, by this attempt and those that it continues. */
     byte[] output() {
         return output.toByteArray();
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/TurnSession.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/TurnSession.java
@@ -170,6 +170,10 @@
             return Optional.of(
                     StreamVersions.ofNewStream(recordedVersion.stream().collect(Collectors.toSet())));
         }
+        if (admitted.keepsTurn()) {
+            // The part of the output that an earlier attempt sent is not stored, and the turn is kept as a whole.
+            return Optional.empty();
+        }
         Set<String> began = opened.resumedVersions();
         Optional<String> only = began.isEmpty()
                 ? scope.context().selector().onlyVersion(admitted.service().name())
