Soak streams, limits, reloads and overlapping stops

Change: endpoints of two versions break streams off, and callers resume them and check versions and order; endpoints state a request limit by turns and check the rate they get while all entries are calm (seeds that are multiples of 3 disturb entries by planned stops alone); SIGTERM comes twice, with SIGHUP, followed by SIGKILL, and while a process is frozen; settings change in series beside all other faults; a call that ran must be answered by an entry that was neither killed nor frozen. The numbers of processes, endpoints and callers are options.

--- a/testbed/src/main/java/org/cicadahead/testbed/fleet/ManagedProcess.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/fleet/ManagedProcess.java
@@ -129,6 +129,15 @@
         signal(Signal.TERM);
     }
 
+    /**
+     * Tells the process that its settings file has changed.
+     *
+     * @throws FleetException if the signal cannot be sent
+     */
+    public void hangUp() throws FleetException {
+        signal(Signal.HUP);
+    }
+
     /**
      * Waits until the process has ended.
      *
--- a/testbed/src/main/java/org/cicadahead/testbed/fleet/Signal.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/fleet/Signal.java
@@ -6,6 +6,8 @@
     KILL,
     /** Asks a process to shut down gracefully. */
     TERM,
+    /** Tells a process that its settings have changed. */
+    HUP,
     /** Freezes a process. */
     STOP,
     /** Continues a frozen process. */
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/ProcessFault.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/ProcessFault.java
@@ -25,16 +25,65 @@
             restart(members, downMillis);
         }
     },
+    /** SIGTERM, then the same and SIGHUP again while the process stops, then a start. */
+    STOP_REPEATEDLY("stop repeatedly") {
+        @Override
+        void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
+                throws FleetException, InterruptedException {
+            for (SoakFleet.Member member : members) {
+                member.process.terminate();
+                Thread.sleep(downMillis / 4);
+                if (member.process.isAlive()) {
+                    member.writeSettings(false);
+                    member.process.hangUp();
+                    member.process.terminate();
+                }
+                awaitExit(member, judge);
+            }
+            restart(members, downMillis);
+        }
+    },
+    /** SIGTERM, then SIGKILL before the process has stopped by itself. */
+    STOP_AND_KILL("stop and kill") {
+        @Override
+        void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
+                throws FleetException, InterruptedException {
+            for (SoakFleet.Member member : members) {
+                member.process.terminate();
+            }
+            Thread.sleep(downMillis);
+            killAndRestart(members, downMillis, judge);
+        }
+    },
+    /** SIGTERM while the process is frozen, which it receives when it wakes. */
+    STOP_FROZEN("stop while frozen") {
+        @Override
+        void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
+                throws FleetException, InterruptedException {
+            for (SoakFleet.Member member : members) {
+                member.disturbed();
+                member.process.freeze();
+                member.process.terminate();
+                Thread.sleep(downMillis);
+                member.disturbed();
+                member.process.thaw();
+                awaitExit(member, judge);
+            }
+            restart(members, downMillis);
+        }
+    },
     /** SIGSTOP, then SIGCONT: the process does not know that time has passed. */
     FREEZE("freeze") {
         @Override
         void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
                 throws FleetException, InterruptedException {
             for (SoakFleet.Member member : members) {
+                member.disturbed();
                 member.process.freeze();
             }
             Thread.sleep(downMillis);
             for (SoakFleet.Member member : members) {
+                member.disturbed();
                 member.process.thaw();
             }
         }
@@ -53,6 +102,7 @@
         void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
                 throws FleetException, InterruptedException {
             for (SoakFleet.Member member : members) {
+                member.disturbed();
                 member.process.kill();
                 awaitExit(member, judge);
                 member.loseDisk();
@@ -64,7 +114,11 @@
     };
 
     /** The faults of processes that keep nothing. */
-    static final List<ProcessFault> WITHOUT_DISK = List.of(KILL, STOP, FREEZE, KILL_ALL);
+    static final List<ProcessFault> WITHOUT_DISK =
+            List.of(KILL, STOP, STOP_REPEATEDLY, STOP_AND_KILL, STOP_FROZEN, FREEZE, KILL_ALL);
+
+    /** The faults after which a process has answered every request that it had passed on. */
+    static final List<ProcessFault> PLANNED = List.of(STOP, STOP_REPEATEDLY);
 
     /** After this time a member that came back empty counts no more as lost, in milliseconds; from the platform. */
     private static final long CATCH_UP_MILLIS = 4_600;
@@ -88,6 +142,7 @@
     private static void killAndRestart(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
             throws FleetException, InterruptedException {
         for (SoakFleet.Member member : members) {
+            member.disturbed();
             member.process.kill();
         }
         for (SoakFleet.Member member : members) {
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCaller.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCaller.java
@@ -17,6 +17,9 @@
     private static final int TOO_MANY = 429;
     private static final int UNAVAILABLE = 503;
     private static final long PAUSE_MILLIS = 20;
+    private static final int STREAM_ATTEMPTS = 4;
+    /** The time that an entry which was frozen or killed may still affect a request, in milliseconds. */
+    private static final long ANSWER_MILLIS = 5_000;
 
     private final int number;
     private final SoakFleet fleet;
@@ -72,6 +75,37 @@
             history += input + SoakEndpoint.events(prompt, attempt);
             previous = attempt;
             callOnce(program, attempt + "x");
+            stream(program, attempt + "s");
+        }
+    }
+
+    /** Sends a stream and resumes it up to a few times where it breaks off; its events must be those of one version. */
+    private void stream(String program, String first) {
+        SoakStream stream = new SoakStream();
+        for (int attempt = 0; attempt < STREAM_ATTEMPTS; attempt++) {
+            String id = first + attempt;
+            Map<String, String> headers = headers(program, id);
+            if (stream.hasBegun()) {
+                headers.put("Last-Event-Id", Long.toString(stream.lastEvent()));
+                headers.put(WireNames.RESUMES, stream.attempt());
+            }
+            SoakHttp.Answer answer = http.call("POST", fleet.callers(fleet.anyEntry(random)), "/resume/x", headers, id);
+            stream.add(id, answer.body(), answer.status() == OK || answer.status() == 0);
+            String fault = stream.fault();
+            if (!fault.isEmpty()) {
+                judge.violation(fault + ": " + id);
+                return;
+            }
+            if (answer.status() == OK) {
+                judge.served();
+                if (stream.lastEvent() != SoakEndpoint.STREAM_EVENTS) {
+                    judge.violation("a stream without its last event looks complete: " + id);
+                } else if (attempt > 0) {
+                    judge.resumed();
+                }
+                return;
+            }
+            check(id, "", answer);
         }
     }
 
@@ -82,14 +116,18 @@
         if (!previous.isEmpty()) {
             headers.put(WireNames.PREVIOUS, previous);
         }
-        return http.call("POST", entry(), "/turns/x", headers, input);
+        return http.call("POST", fleet.callers(fleet.anyEntry(random)), "/turns/x", headers, input);
     }
 
     private void callOnce(String program, String attempt) {
         judge.askedOnce(attempt);
-        SoakHttp.Answer answer = http.call("POST", entry(), "/once/x", headers(program, attempt), "once");
+        SoakFleet.Member entry = fleet.anyEntry(random);
+        long sentMillis = SoakJudge.now();
+        SoakHttp.Answer answer = http.call("POST", fleet.callers(entry), "/once/x", headers(program, attempt), "once");
         if (answer.status() == OK) {
             judge.served();
+        } else if (answer.status() == 0 && entry.calmSince(sentMillis - ANSWER_MILLIS)) {
+            judge.cut(attempt);
         } else {
             check(attempt, "", answer);
         }
@@ -119,8 +157,4 @@
             }
         }
     }
-
-    private String entry() {
-        return fleet.callers(random.nextInt(SoakFleet.ENTRIES));
-    }
 }
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCommand.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCommand.java
@@ -20,8 +20,12 @@
         mixinStandardHelpOptions = true,
         description = "Runs hubs, stores and entries under random faults and checks their promises.")
 public final class SoakCommand implements Callable<Integer> {
-    private static final int CALLERS = 6;
-    private static final int ENDPOINTS = 3;
+    private static final double LIMIT_PER_SECOND = 4;
+    /** Entries are disturbed by planned stops alone in each run whose seed is a multiple of this. */
+    private static final int CALM_SEEDS = 3;
+    /** The time without disturbance of an entry after which the check of request limits applies, in milliseconds. */
+    private static final long CALM_MILLIS = 8_000;
+
     private static final long HEARTBEAT_MILLIS = 500;
     private static final long CHANGE_MILLIS = 1_500;
     private static final long START_LIMIT_MILLIS = 30_000;
@@ -34,6 +38,24 @@
     @Option(names = "--seconds", defaultValue = "20", description = "How long faults go on. Default: ${DEFAULT-VALUE}.")
     private long seconds;
 
+    @Option(names = "--hubs", defaultValue = "3", description = "The number of hubs. Default: ${DEFAULT-VALUE}.")
+    private int hubs;
+
+    @Option(names = "--stores", defaultValue = "3", description = "The number of stores. Default: ${DEFAULT-VALUE}.")
+    private int stores;
+
+    @Option(names = "--entries", defaultValue = "2", description = "The number of entries. Default: ${DEFAULT-VALUE}.")
+    private int entries;
+
+    @Option(
+            names = "--endpoints",
+            defaultValue = "4",
+            description = "The number of endpoints. Default: ${DEFAULT-VALUE}.")
+    private int endpointCount;
+
+    @Option(names = "--callers", defaultValue = "6", description = "The number of callers. Default: ${DEFAULT-VALUE}.")
+    private int callers;
+
     private final AtomicBoolean calling = new AtomicBoolean(true);
     private final AtomicBoolean disturbing = new AtomicBoolean(true);
     private final SoakJudge judge = new SoakJudge();
@@ -47,9 +69,9 @@
         System.out.printf("soak: seed %d, %d s, logs in %s%n", seed, seconds, folder);
         Path jar = Binaries.locate().root().resolve("target").resolve("cicadahead-platform.jar");
         List<SoakEndpoint> endpoints = new ArrayList<>();
-        try (SoakFleet fleet = new SoakFleet(folder, jar)) {
-            for (int i = 0; i < ENDPOINTS; i++) {
-                endpoints.add(SoakEndpoint.start("endpoint-" + i, judge));
+        try (SoakFleet fleet = new SoakFleet(folder, jar, hubs, stores, entries)) {
+            for (int i = 0; i < endpointCount; i++) {
+                endpoints.add(endpoint(i, fleet));
             }
             fleet.startAll();
             play(fleet, endpoints);
@@ -65,23 +87,34 @@
         return violations.isEmpty() ? 0 : 1;
     }
 
+    /** Starts an endpoint; two versions share the service, and every second pair of endpoints states limits. */
+    private SoakEndpoint endpoint(int number, SoakFleet fleet) throws FleetException {
+        String id = "endpoint-" + number;
+        SoakLimit limit = new SoakLimit(
+                id,
+                number / 2 % 2 == 0 ? LIMIT_PER_SECOND : 0,
+                judge,
+                () -> fleet.role("entry").stream().allMatch(entry -> entry.calmSince(SoakJudge.now() - CALM_MILLIS)));
+        return SoakEndpoint.start(id, "v" + number % 2, limit, judge);
+    }
+
     private void play(SoakFleet fleet, List<SoakEndpoint> endpoints) throws FleetException, InterruptedException {
         SoakHttp http = SoakHttp.start();
         SoakOperator operator = new SoakOperator(fleet, http, judge, new Random(seed));
         begin(operator, endpoints);
         List<Thread> threads = new ArrayList<>();
-        for (int i = 0; i < CALLERS; i++) {
+        for (int i = 0; i < callers; i++) {
             threads.add(thread(new SoakCaller(i, fleet, http, judge, new Random(seed + i), calling::get)));
         }
-        await("the first program", START_LIMIT_MILLIS, operator, endpoints, () -> judge.servedSoFar() > CALLERS);
+        await("the first program", START_LIMIT_MILLIS, operator, endpoints, () -> judge.servedSoFar() > callers);
         List<Thread> faults = new ArrayList<>();
-        faults.add(thread(
-                new SoakFaults(fleet.role("hub"), endpoints, judge, new Random(seed * 31 + 1), disturbing::get)));
-        faults.add(thread(
-                new SoakFaults(fleet.role("store"), endpoints, judge, new Random(seed * 31 + 2), disturbing::get)));
-        faults.add(thread(
-                new SoakFaults(fleet.role("entry"), endpoints, judge, new Random(seed * 31 + 3), disturbing::get)));
-        faults.add(thread(new SoakFaults(List.of(), endpoints, judge, new Random(seed * 31 + 4), disturbing::get)));
+        List<ProcessFault> all = List.of(ProcessFault.values());
+        List<ProcessFault> entryFaults = seed % CALM_SEEDS == 0 ? ProcessFault.PLANNED : ProcessFault.WITHOUT_DISK;
+        faults.add(disturb(fleet.role("hub"), all, endpoints, 1));
+        faults.add(disturb(fleet.role("store"), all, endpoints, 2));
+        faults.add(disturb(fleet.role("entry"), entryFaults, endpoints, 3));
+        faults.add(disturb(List.of(), List.of(), endpoints, 4));
+        faults.add(thread(new SoakReloads(fleet.members(), new Random(seed * 31 + 5), disturbing::get)));
         long until = now() + seconds * MILLIS_PER_SECOND;
         operate(operator, endpoints, () -> now() >= until);
         disturbing.set(false);
@@ -94,7 +127,7 @@
                 RECOVER_LIMIT_MILLIS,
                 operator,
                 endpoints,
-                () -> judge.servedSoFar() > before + CALLERS);
+                () -> judge.servedSoFar() > before + callers);
         await("a read after the faults", RECOVER_LIMIT_MILLIS, operator, endpoints, operator::read);
         calling.set(false);
         for (Thread each : threads) {
@@ -102,6 +135,13 @@
         }
     }
 
+    /** Starts a series of faults; links of endpoints are disturbed if there are no members. */
+    private Thread disturb(
+            List<SoakFleet.Member> members, List<ProcessFault> kinds, List<SoakEndpoint> endpoints, int series) {
+        Random random = new Random(seed * 31 + series);
+        return thread(new SoakFaults(members, kinds, endpoints, judge, random, disturbing::get));
+    }
+
     private void begin(SoakOperator operator, List<SoakEndpoint> endpoints) throws InterruptedException {
         await("the first configuration", START_LIMIT_MILLIS, operator, List.of(), operator::change);
         endpoints.forEach(operator::heartbeat);
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakEndpoint.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakEndpoint.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.zip.CRC32C;
 import org.cicadahead.platform.WireNames;
 import org.cicadahead.testbed.fleet.FaultyLink;
@@ -23,29 +24,35 @@
 final class SoakEndpoint implements Closeable {
     private static final int OK = 200;
     private static final int MISDIRECTED = 421;
+    /** The number of events of a stream that callers may resume. */
+    static final int STREAM_EVENTS = 4;
+
+    private static final int BREAK_OFF_CHANCE = 3;
 
     private final String id;
+    private final String version;
     private final Server server;
     private final FaultyLink link;
 
-    private SoakEndpoint(String id, Server server, FaultyLink link) {
+    private SoakEndpoint(String id, String version, Server server, FaultyLink link) {
         this.id = id;
+        this.version = version;
         this.server = server;
         this.link = link;
     }
 
-    static SoakEndpoint start(String id, SoakJudge judge) throws FleetException {
+    static SoakEndpoint start(String id, String version, SoakLimit limit, SoakJudge judge) throws FleetException {
         Server server = new Server();
         ServerConnector connector = new ServerConnector(server, 1, 1);
         connector.setHost("127.0.0.1");
         server.addConnector(connector);
-        server.setHandler(new Answers(id, judge));
+        server.setHandler(new Answers(id, version, limit, judge));
         try {
             server.start();
         } catch (Exception e) {
             throw new FleetException("the endpoint " + id + " cannot start", e);
         }
-        return new SoakEndpoint(id, server, FaultyLink.start(Ports.free(), connector.getLocalPort()));
+        return new SoakEndpoint(id, version, server, FaultyLink.start(Ports.free(), connector.getLocalPort()));
     }
 
     /** Returns the checksum with which the endpoint answers a text. */
@@ -69,8 +76,8 @@
     }
 
     String heartbeat(long sequence) {
-        return "{\"service\":\"soak\",\"address\":\"127.0.0.1:" + link.port() + "\",\"zone\":\"z\",\"version\":\"v\","
-                + "\"slots\":16,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":" + sequence + "}";
+        return "{\"service\":\"soak\",\"address\":\"127.0.0.1:" + link.port() + "\",\"zone\":\"z\",\"version\":\""
+                + version + "\"," + "\"slots\":16,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":" + sequence + "}";
     }
 
     @Override
@@ -85,10 +92,14 @@
 
     private static final class Answers extends Handler.Abstract {
         private final String id;
+        private final String version;
+        private final SoakLimit limit;
         private final SoakJudge judge;
 
-        Answers(String id, SoakJudge judge) {
+        Answers(String id, String version, SoakLimit limit, SoakJudge judge) {
             this.id = id;
+            this.version = version;
+            this.limit = limit;
             this.judge = judge;
         }
 
@@ -96,6 +107,7 @@
         public boolean handle(Request request, Response response, Callback callback) throws IOException {
             String attempt = request.getHeaders().get(WireNames.ATTEMPT);
             response.getHeaders().put(WireNames.ATTEMPT, attempt);
+            limit.requestArrived().ifPresent(text -> response.getHeaders().put(WireNames.REQUEST_LIMIT, text));
             if (!id.equals(request.getHeaders().get(WireNames.INSTANCE))) {
                 response.setStatus(MISDIRECTED);
                 response.getHeaders().put(WireNames.NOT_RUN, "1");
@@ -111,10 +123,40 @@
             response.setStatus(OK);
             response.getHeaders().put(WireNames.SIGNATURE, "seal-" + attempt);
             response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
+            if (request.getHttpURI().getPath().startsWith("/resume/")) {
+                stream(request, response, callback);
+                return true;
+            }
             String[] data = events(body.toByteArray(), attempt).split("\n");
             String text = "id: 1\ndata: " + data[0] + "\n\nid: 2\ndata: " + data[1] + "\n\n";
             response.write(true, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), callback);
             return true;
         }
+
+        /** Sends the events after the last one that the caller has, and breaks off before the end now and then. */
+        private void stream(Request request, Response response, Callback callback) {
+            String last = request.getHeaders().get("Last-Event-Id");
+            int first = last == null ? 1 : Integer.parseInt(last) + 1;
+            ThreadLocalRandom random = ThreadLocalRandom.current();
+            boolean breaksOff = random.nextInt(BREAK_OFF_CHANCE) == 0;
+            int end = breaksOff && first < STREAM_EVENTS ? random.nextInt(first, STREAM_EVENTS) : STREAM_EVENTS;
+            StringBuilder events = new StringBuilder();
+            for (int event = first; event <= end; event++) {
+                events.append("id: ")
+                        .append(event)
+                        .append("\ndata: ")
+                        .append(version)
+                        .append("\n\n");
+            }
+            ByteBuffer bytes = ByteBuffer.wrap(events.toString().getBytes(StandardCharsets.UTF_8));
+            if (end == STREAM_EVENTS) {
+                response.write(true, bytes, callback);
+            } else {
+                response.write(
+                        false,
+                        bytes,
+                        Callback.from(() -> callback.failed(new IOException("broken off")), callback::failed));
+            }
+        }
     }
 }
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFaults.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFaults.java
@@ -18,6 +18,7 @@
     private static final long DELAY_MILLIS = 150;
 
     private final List<SoakFleet.Member> members;
+    private final List<ProcessFault> kinds;
     private final List<SoakEndpoint> endpoints;
     private final SoakJudge judge;
     private final Random random;
@@ -25,11 +26,13 @@
 
     SoakFaults(
             List<SoakFleet.Member> members,
+            List<ProcessFault> kinds,
             List<SoakEndpoint> endpoints,
             SoakJudge judge,
             Random random,
             BooleanSupplier running) {
         this.members = members;
+        this.kinds = kinds;
         this.endpoints = endpoints;
         this.judge = judge;
         this.random = random;
@@ -55,7 +58,6 @@
     }
 
     private void disturb(SoakFleet.Member member) throws FleetException, InterruptedException {
-        List<ProcessFault> kinds = member.hasDisk() ? List.of(ProcessFault.values()) : ProcessFault.WITHOUT_DISK;
         ProcessFault kind = kinds.get(random.nextInt(kinds.size()));
         int down = between(DOWN_MIN_MILLIS, DOWN_MAX_MILLIS);
         System.out.printf("soak: %s %s for %d ms%n", kind.title(), member.process.name(), down);
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Random;
 import java.util.stream.Stream;
 import org.cicadahead.testbed.fleet.FleetException;
 import org.cicadahead.testbed.fleet.ManagedProcess;
@@ -14,15 +15,15 @@
 
 /** The processes of a small deployment, each at a loopback address of its own. */
 final class SoakFleet implements Closeable {
-    static final int HUBS = 3;
-    static final int STORES = 3;
-    static final int ENTRIES = 2;
-
+    private static final int FIRST_NET = 77;
     private static final int FIRST_HOST = 11;
     private static final long EXIT_MILLIS = 10_000;
+    private static final long BOOT_MILLIS = 1_000;
 
     private final Path folder;
     private final Path jar;
+    private final int entryCount;
+    private final int hubCount;
     private final int peerPort = Ports.free();
     private final int controlPort = Ports.free();
     private final int callerPort = Ports.free();
@@ -35,10 +36,12 @@
         final String host;
         final ManagedProcess process;
         private final Path settings;
+        private volatile long disturbedMillis;
+        private volatile long startedMillis;
 
         Member(String role, int number) {
             this.role = role;
-            this.host = "127.0.77." + (FIRST_HOST + members.size());
+            this.host = "127.0." + FIRST_NET + "." + (FIRST_HOST + members.size());
             this.settings = folder.resolve(role + number + ".json");
             this.process = new ManagedProcess(
                     role + number,
@@ -72,21 +75,44 @@
         }
 
         void start(boolean first) throws FleetException {
+            writeSettings(first);
+            startedMillis = SoakJudge.now();
+            process.start();
+        }
+
+        /** Returns whether the process may still be in the start of its JVM, before any code of the role runs. */
+        boolean isBooting() {
+            return SoakJudge.now() - startedMillis < BOOT_MILLIS;
+        }
+
+        /** Writes the settings anew while the process runs or not. */
+        void writeSettings(boolean first) throws FleetException {
             try {
                 Files.writeString(settings, settings(this, first));
             } catch (IOException e) {
                 throw new FleetException("cannot write " + settings, e);
             }
-            process.start();
+        }
+
+        /** Notes that the process is killed or frozen now, so that it may lose requests. */
+        void disturbed() {
+            disturbedMillis = SoakJudge.now();
+        }
+
+        /** Returns whether the process was neither killed nor frozen since a time, and is not about to be thawed. */
+        boolean calmSince(long millis) {
+            return disturbedMillis < millis;
         }
     }
 
-    SoakFleet(Path folder, Path jar) throws FleetException {
+    SoakFleet(Path folder, Path jar, int hubs, int stores, int entries) throws FleetException {
         this.folder = folder;
         this.jar = jar;
-        add("hub", HUBS);
-        add("store", STORES);
-        add("entry", ENTRIES);
+        this.hubCount = hubs;
+        this.entryCount = entries;
+        add("hub", hubs);
+        add("store", stores);
+        add("entry", entries);
     }
 
     void startAll() throws FleetException {
@@ -99,12 +125,21 @@
         return members.stream().filter(member -> member.role.equals(role)).toList();
     }
 
-    String control(int hub) {
-        return role("hub").get(hub).host + ":" + controlPort;
+    List<Member> members() {
+        return List.copyOf(members);
+    }
+
+    /** Returns the address for operators and endpoints of a hub drawn at random. */
+    String anyControl(Random random) {
+        return role("hub").get(random.nextInt(hubCount)).host + ":" + controlPort;
+    }
+
+    Member anyEntry(Random random) {
+        return role("entry").get(random.nextInt(entryCount));
     }
 
-    String callers(int entry) {
-        return role("entry").get(entry).host + ":" + callerPort;
+    String callers(Member entry) {
+        return entry.host + ":" + callerPort;
     }
 
     @Override
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakHttp.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakHttp.java
@@ -3,13 +3,11 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import java.util.concurrent.ExecutionException;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import org.cicadahead.platform.WireNames;
 import org.cicadahead.testbed.fleet.FleetException;
 import org.eclipse.jetty.client.BytesRequestContent;
-import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpHeader;
@@ -21,7 +19,7 @@
 
     private final HttpClient client = new HttpClient();
 
-    /** An answer; status 0 stands for none, also one that broke off. */
+    /** An answer; status 0 stands for none, or for one that broke off after the body given. */
     record Answer(int status, String body, boolean sealed) {}
 
     static SoakHttp start() throws FleetException {
@@ -47,17 +45,14 @@
         if (!body.isEmpty()) {
             request.body(new BytesRequestContent("text/plain", body.getBytes(StandardCharsets.UTF_8)));
         }
-        try {
-            ContentResponse answer = request.send();
-            return new Answer(
-                    answer.getStatus(),
-                    answer.getContentAsString(),
-                    answer.getHeaders().contains(WireNames.SIGNATURE));
-        } catch (ExecutionException | TimeoutException e) {
-            return new Answer(0, String.valueOf(e.getMessage()), false);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return new Answer(0, "interrupted", false);
-        }
+        StringBuffer received = new StringBuffer();
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        request.onResponseContent((response, content) -> received.append(StandardCharsets.UTF_8.decode(content)))
+                .send(result -> answer.complete(new Answer(
+                        result.isSucceeded() ? result.getResponse().getStatus() : 0,
+                        received.toString(),
+                        result.isSucceeded()
+                                && result.getResponse().getHeaders().contains(WireNames.SIGNATURE))));
+        return answer.join();
     }
 }
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakJudge.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakJudge.java
@@ -13,6 +13,8 @@
 
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private final Set<String> saidNotRun = ConcurrentHashMap.newKeySet();
+    private final Set<String> cut = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger resumed = new AtomicInteger();
     private final Set<String> once = ConcurrentHashMap.newKeySet();
     private final List<String> violations = new CopyOnWriteArrayList<>();
     private final AtomicInteger served = new AtomicInteger();
@@ -33,6 +35,16 @@
         saidNotRun.add(attempt);
     }
 
+    /** A caller got no answer from an entry that was neither killed nor frozen. */
+    void cut(String attempt) {
+        cut.add(attempt);
+    }
+
+    /** A stream that broke off was resumed and ended whole. */
+    void resumed() {
+        resumed.incrementAndGet();
+    }
+
     void asked() {
         asked.incrementAndGet();
     }
@@ -60,11 +72,22 @@
                 violations.add("a request was said not to have run, and ran: " + attempt);
             }
         }
+        for (String attempt : cut) {
+            if (runs.containsKey(attempt)) {
+                violations.add("a request that ran was cut by an entry that was not killed: " + attempt);
+            }
+        }
         return List.copyOf(violations);
     }
 
+    /** Returns the monotonic time in milliseconds. */
+    static long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+
     /** Returns the line for people. */
     String summary() {
-        return served.get() + " of " + asked.get() + " requests served, " + saidNotRun.size() + " said not to have run";
+        return served.get() + " of " + asked.get() + " requests served, " + saidNotRun.size()
+                + " said not to have run, " + resumed.get() + " streams resumed";
     }
 }
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakOperator.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakOperator.java
@@ -58,12 +58,13 @@
     }
 
     private String hub() {
-        return fleet.control(random.nextInt(SoakFleet.HUBS));
+        return fleet.anyControl(random);
     }
 
     private static String document(long number) {
         return "{\"version\":" + number + ",\"routes\":[" + route("turns", "streaming", true) + ","
-                + route("once", "non_idempotent", false) + "," + route("idle" + number, "idempotent", false)
+                + route("once", "non_idempotent", false) + "," + route("resume", "streaming", false) + ","
+                + route("idle" + number, "idempotent", false)
                 + "],\"services\":[{\"name\":\"soak\",\"health_path\":\"/health\",\"max_connections\":100,"
                 + "\"engine\":{\"slots\":16,\"kv_capacity\":1000,\"stride\":1}}],\"tenants\":[{\"name\":\"o\","
                 + "\"api_keys\":[\"soak-key\"],\"rate_per_s\":2000,\"burst\":2000}]}";
@@ -72,6 +73,6 @@
     private static String route(String name, String type, boolean kept) {
         return "{\"name\":\"" + name + "\",\"host\":\"soak.example\",\"path_prefix\":\"/" + name
                 + "/\",\"route_type\":\"" + type + "\",\"timeout_ms\":3000,\"service\":\"soak\",\"max_attempts\":2,"
-                + "\"retain\":" + kept + ",\"retention_s\":60.0}";
+                + "\"retain\":" + kept + ",\"resumable\":" + name.equals("resume") + ",\"retention_s\":60.0}";
     }
 }
