Bear a process that ends between two signals of the soak

Change: further signals to a process that stops are ignored once it has ended; its end within the grace is checked as before.

--- a/testbed/src/main/java/org/cicadahead/testbed/soak/ProcessFault.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/ProcessFault.java
@@ -33,11 +33,7 @@
             for (SoakFleet.Member member : members) {
                 member.process.terminate();
                 Thread.sleep(downMillis / 4);
-                if (member.process.isAlive()) {
-                    member.writeSettings(false);
-                    member.process.hangUp();
-                    member.process.terminate();
-                }
+                hangUpAndTerminate(member);
                 awaitExit(member, judge);
             }
             restart(members, downMillis);
@@ -139,6 +135,17 @@
         return title;
     }
 
+    /** Sends further signals to a process that is stopping and may end at any moment. */
+    private static void hangUpAndTerminate(SoakFleet.Member member) {
+        try {
+            member.writeSettings(false);
+            member.process.hangUp();
+            member.process.terminate();
+        } catch (FleetException e) {
+            // The process has stopped in the meantime.
+        }
+    }
+
     private static void killAndRestart(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
             throws FleetException, InterruptedException {
         for (SoakFleet.Member member : members) {
