Log the shutdown of a role

The log manager of the JDK removes its handlers when the JVM begins to shut down, and the last lines were still queued when the process halted. Seen while tracing a stream that looked complete during a stop. Evidence: MainTest.aProcessThatStopsLogsItsShutdown failed before (empty output after SIGTERM) and passes now.

--- a/gateway/src/main/java/org/cicadahead/gateway/DecisionLog.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/DecisionLog.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.cicadahead.node.DaemonThreads;
 
@@ -19,7 +20,10 @@
 
     private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(MAX_LINES);
     private final AtomicLong dropped = new AtomicLong();
+    private final AtomicLong queued = new AtomicLong();
     private final PrintStream out;
+    /** The number of lines that have been written; guarded by this log. */
+    private long written;
 
     private DecisionLog(PrintStream out) {
         this.out = out;
@@ -43,11 +47,36 @@
      * @param line the line without a line terminator
      */
     public void line(String line) {
-        if (!lines.offer(line)) {
+        if (lines.offer(line)) {
+            queued.incrementAndGet();
+        } else {
             dropped.incrementAndGet();
         }
     }
 
+    /**
+     * Waits until the lines queued so far have been written, for the end of the process.
+     *
+     * @param timeoutMillis how long to wait at most, in milliseconds
+     */
+    public synchronized void awaitWritten(long timeoutMillis) {
+        long target = queued.get();
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+        try {
+            for (long left = timeoutMillis; written < target && left > 0; ) {
+                wait(left);
+                left = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized void addWritten(int count) {
+        written += count;
+        notifyAll();
+    }
+
     /**
      * Returns the number of dropped lines.
      *
@@ -63,8 +92,10 @@
         try {
             while (true) {
                 batch.append(lines.take()).append('\n');
+                int count = 1;
                 for (String next = lines.poll(); next != null; next = lines.poll()) {
                     batch.append(next).append('\n');
+                    count++;
                 }
                 long dropCount = dropped.get();
                 if (dropCount > reportedDrops) {
@@ -77,6 +108,7 @@
                 out.write(bytes, 0, bytes.length);
                 out.flush();
                 batch.setLength(0);
+                addWritten(count);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
