Send no reload to a process that has not logged its first line

Its log holds no line of the last start: SIGHUP had arrived while the JVM itself started, for more than the second that the soak allowed for it. Change: the soak waits for the first line of the log instead of a second.

--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
@@ -18,7 +18,6 @@
     private static final int FIRST_NET = 77;
     private static final int FIRST_HOST = 11;
     private static final long EXIT_MILLIS = 10_000;
-    private static final long BOOT_MILLIS = 1_000;
 
     private final Path folder;
     private final Path jar;
@@ -37,7 +36,7 @@
         final ManagedProcess process;
         private final Path settings;
         private volatile long disturbedMillis;
-        private volatile long startedMillis;
+        private volatile long bootedLogBytes;
 
         Member(String role, int number) {
             this.role = role;
@@ -76,13 +75,17 @@
 
         void start(boolean first) throws FleetException {
             writeSettings(first);
-            startedMillis = SoakJudge.now();
+            bootedLogBytes = logBytes() + 1;
             process.start();
         }
 
-        /** Returns whether the process may still be in the start of its JVM, before any code of the role runs. */
+        /** Returns whether the process has not yet logged its first line, so that no code of the role may run yet. */
         boolean isBooting() {
-            return SoakJudge.now() - startedMillis < BOOT_MILLIS;
+            return logBytes() < bootedLogBytes;
+        }
+
+        private long logBytes() {
+            return process.log().toFile().length();
         }
 
         /** Writes the settings anew while the process runs or not. */
