Send no stream to a version whose record the stores refused

Cause: found on reading. A further version counted as recorded whatever the stores answered, so that a caller could resume its stream at the version recorded before. A stream that cannot be resumed was also told so while no endpoint of the service was known at all, when coming back later helps. Change: only an open turn counts as a record; without any endpoint the refusal is no_endpoint, with a time to come back. Measured: StreamVersionsTest.tellsAMissingVersionFromMissingEndpoints, and the tests of resumed streams, pass. The refused record has no test of its own: it takes a previous turn that expires between two commits.

--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -229,13 +229,21 @@
     private void refuseWithoutEndpoint() {
         if (rejections > 0 && possibleRuns == 0) {
             refuse(RefusalReason.ENDPOINT_OVERLOADED, OVERLOAD_RETRY_MILLIS);
-        } else if (possibleRuns == 0 && admitted.resumesStream()) {
+        } else if (possibleRuns == 0 && servedByOtherVersions()) {
             refuse(RefusalReason.STREAM_VERSION_UNAVAILABLE, 0);
         } else {
             refuse(possibleRuns > 0 ? RefusalReason.ENDPOINT_LOST : RefusalReason.NO_ENDPOINT, OVERLOAD_RETRY_MILLIS);
         }
     }
 
+    /** Returns whether the request could be sent to an endpoint of a version that does not fit its stream. */
+    private boolean servedByOtherVersions() {
+        return scope.context()
+                .selector()
+                .likelyVersion(admitted, triedEndpoints, scope.context().nowMillis())
+                .isPresent();
+    }
+
     private void refuse(RefusalReason reason, long retryAfterMillis) {
         turn.closeIncomplete(tokens);
         scope.refuse(new GatewayRefusal(reason, reason.notRun() ? retryAfterMillis : 0));
--- a/gateway/src/main/java/org/cicadahead/gateway/TurnSession.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/TurnSession.java
@@ -102,7 +102,14 @@
 
     @Override
     public CompletableFuture<?> recordVersion(String version) {
-        return scope.context().stores().open(openTurn(Optional.of(version), true), openTimeoutMillis());
+        return scope.context()
+                .stores()
+                .open(openTurn(Optional.of(version), true), openTimeoutMillis())
+                .thenAccept(opened -> {
+                    if (opened.verdict() != TurnOpened.Verdict.OPEN) {
+                        throw new IllegalStateException("the stores did not record the version: " + opened.verdict());
+                    }
+                });
     }
 
     @Override
--- a/gateway/src/test/java/org/cicadahead/gateway/StreamVersionsTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/StreamVersionsTest.java
@@ -113,6 +113,21 @@
         assertThat(turn.versions).isEmpty();
     }
 
+    /** A caller must learn whether to send its stream from the start or to come back later. */
+    @Test
+    void tellsAMissingVersionFromMissingEndpoints() throws Exception {
+        start(StreamVersions.only("v3"));
+        assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.STREAM_VERSION_UNAVAILABLE);
+        assertThat(caller.refusal.reason().notRun()).isTrue();
+        for (String id : List.of("a", "b", "c")) {
+            EndpointRecord left = new EndpointRecord(id, 0, 3, "s", id + ":1", "z", 4, EndpointPhase.GONE, 0, "v1");
+            gateway.selector.applyUpdate(FleetUpdate.of(left), GatewayNode.nowMillis());
+        }
+        start(StreamVersions.only("v3"));
+        assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.NO_ENDPOINT);
+        assertThat(caller.refusal.retryAfterMillis()).isGreaterThan(0);
+    }
+
     /** An ejected endpoint of the recorded version must not be preferred to a healthy one of another version. */
     @Test
     void goesToAHealthyEndpointOfAnotherVersionRatherThanToAnEjectedOne() throws Exception {
