Stop processes of the soak by one method

Cause: three faults repeated the loop over the members, their exit and restart. Change: one method takes the signals that differ. Behaviour as before.

--- a/testbed/src/main/java/org/cicadahead/testbed/soak/ProcessFault.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/ProcessFault.java
@@ -18,11 +18,7 @@
         @Override
         void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
                 throws FleetException, InterruptedException {
-            for (SoakFleet.Member member : members) {
-                member.process.terminate();
-                awaitExit(member, judge);
-            }
-            restart(members, downMillis);
+            stopAndRestart(members, downMillis, judge, member -> member.process.terminate());
         }
     },
     /** SIGTERM, then the same and SIGHUP again while the process stops, then a start. */
@@ -30,13 +26,11 @@
         @Override
         void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
                 throws FleetException, InterruptedException {
-            for (SoakFleet.Member member : members) {
+            stopAndRestart(members, downMillis, judge, member -> {
                 member.process.terminate();
                 Thread.sleep(downMillis / 4);
                 hangUpAndTerminate(member);
-                awaitExit(member, judge);
-            }
-            restart(members, downMillis);
+            });
         }
     },
     /** SIGTERM, then SIGKILL before the process has stopped by itself. */
@@ -56,16 +50,14 @@
         @Override
         void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
                 throws FleetException, InterruptedException {
-            for (SoakFleet.Member member : members) {
+            stopAndRestart(members, downMillis, judge, member -> {
                 member.disturbed();
                 member.process.freeze();
                 member.process.terminate();
                 Thread.sleep(downMillis);
                 member.disturbed();
                 member.process.thaw();
-                awaitExit(member, judge);
-            }
-            restart(members, downMillis);
+            });
         }
     },
     /** SIGSTOP, then SIGCONT: the process does not know that time has passed. */
@@ -135,6 +127,21 @@
         return title;
     }
 
+    /** Tells one process to stop. */
+    private interface StopSignals {
+        void send(SoakFleet.Member member) throws FleetException, InterruptedException;
+    }
+
+    private static void stopAndRestart(
+            List<SoakFleet.Member> members, long downMillis, SoakJudge judge, StopSignals signals)
+            throws FleetException, InterruptedException {
+        for (SoakFleet.Member member : members) {
+            signals.send(member);
+            awaitExit(member, judge);
+        }
+        restart(members, downMillis);
+    }
+
     /** Sends further signals to a process that is stopping and may end at any moment. */
     private static void hangUpAndTerminate(SoakFleet.Member member) {
         try {
