Tell entries of endpoints whose heartbeats return after a silence

Cause: a hub leaves silent endpoints out of the first update to a process, and passes a heartbeat that changes nothing on as an id alone, which says nothing to a process that does not know the endpoint. The heartbeat that ended the silence counted as unchanged. Change: a heartbeat that ends a silence counts as a change, so that the record is sent. Evidence: HubNodeTest.anEntryThatStartedDuringASilenceLearnsOfItsEnd failed before (timed out) and passes now.

--- a/gateway/src/main/java/org/cicadahead/placement/EndpointRegistry.java
+++ b/gateway/src/main/java/org/cicadahead/placement/EndpointRegistry.java
@@ -52,7 +52,7 @@
      *
      * @param heartbeat the heartbeat
      * @param nowMillis monotonic time in milliseconds
-     * @return true if the endpoint is new or has changed
+     * @return true if the endpoint is new, has changed or was silent before
      */
     public boolean applyHeartbeat(EndpointRecord heartbeat, long nowMillis) {
         KnownEndpoint known = endpoints.get(heartbeat.id());
@@ -73,12 +73,14 @@
         EndpointPhase phase = before.phase().later(heartbeat.phase());
         boolean newer =
                 heartbeat.sequence() > before.sequence() && !heartbeat.address().isEmpty();
+        // Processes that joined during the silence have not been told of the endpoint.
+        boolean endsSilence = newer && isSilent(known, nowMillis);
         EndpointRecord merged = (newer ? heartbeat : before).withPhase(phase);
         known.record(merged);
         if (newer) {
             known.refresh(nowMillis);
         }
-        return phase != before.phase() || newer && changed(before, heartbeat);
+        return phase != before.phase() || endsSilence || newer && changed(before, heartbeat);
     }
 
     /**
--- a/gateway/src/test/java/org/cicadahead/hub/HubNodeTest.java
+++ b/gateway/src/test/java/org/cicadahead/hub/HubNodeTest.java
@@ -221,4 +221,14 @@
         List<FleetUpdate> later = watch("later");
         await(() -> reports(later, EndpointPhase.READY));
     }
+
+    /** An entry that starts while an endpoint is silent must learn of the endpoint when its heartbeats return. */
+    @Test
+    void anEntryThatStartedDuringASilenceLearnsOfItsEnd() {
+        hub.heartbeat(endpoint(EndpointPhase.READY, 1), ReplicatedNode.monotonicMillis() - 10_000);
+        List<FleetUpdate> updates = watch("e");
+        await(() -> !updates.isEmpty());
+        hub.heartbeat(endpoint(EndpointPhase.READY, 2), ReplicatedNode.monotonicMillis());
+        await(() -> reports(updates, EndpointPhase.READY));
+    }
 }
