--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
@@ -64,6 +64,10 @@
 
         /** Removes all files that the process has written; it must not run. */
         void loseDisk() throws FleetException {
+            if (!Files.exists(data(this))) {
+                // The process was killed before it could create its folder.
+                return;
+            }
             try (Stream<Path> files = Files.walk(data(this))) {
                 for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
                     Files.delete(file);
