Let the test of unused limits send as often as the limit allows

The test sent at most one request for each entry and step of 20 ms, 50 a second, so that a single entry could not reach a limit of 60 whatever the code did. Change: an entry sends in each step what it may, as in the other property. The bound and the range of limits stay. Measured: EndpointLimitTest passes.

--- a/gateway/src/test/java/org/cicadahead/placement/EndpointLimitTest.java
+++ b/gateway/src/test/java/org/cicadahead/placement/EndpointLimitTest.java
@@ -83,7 +83,7 @@
         int sent = 0;
         for (int now = 0; now < seconds * 1_000; now += STEP_MILLIS) {
             for (EndpointLimit each : limits) {
-                if (each.delayMillis(now) == 0) {
+                while (each.delayMillis(now) == 0) {
                     each.take(now);
                     sent++;
                 }
