Answer requests that a stopping entry cannot finish

Cause: the time limit of a request that arrives during a stop took no account of the end of the process. Change: the deadline of such a request is no later than 100 ms before the end of the stop.

--- a/gateway/src/main/java/org/cicadahead/gateway/AdmittedRequest.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/AdmittedRequest.java
@@ -47,6 +47,13 @@
         return caller.programContext() == null ? "" : caller.programContext().program();
     }
 
+    /** Returns this request with a deadline that is no later than a monotonic time. */
+    AdmittedRequest endingBy(long millis) {
+        return deadlineMillis <= millis
+                ? this
+                : new AdmittedRequest(caller, route, service, organisation, affinity, millis);
+    }
+
     long leftMillis(long nowMillis) {
         return deadlineMillis - nowMillis;
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
@@ -21,6 +21,7 @@
     private final ResponseMemory responseMemory;
     private final AtomicInteger activeRequests = new AtomicInteger();
     private volatile SiteIndex site;
+    private volatile long stopMillis = Long.MAX_VALUE;
 
     GatewayContext(
             EndpointSelector selector,
@@ -98,6 +99,15 @@
         return activeRequests;
     }
 
+    /** Returns the monotonic time by which all requests must have been answered, in milliseconds. */
+    long stopMillis() {
+        return stopMillis;
+    }
+
+    void stopMillis(long millis) {
+        stopMillis = millis;
+    }
+
     /** Returns the current configuration, or null if none has been received. */
     SiteIndex site() {
         return site;
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
@@ -45,6 +45,12 @@
      */
     private static final long BALANCER_DRAIN_MILLIS = 3_200;
 
+    /**
+     * The time before the end of a shutdown at which the last requests are answered, in milliseconds. Without it they
+     * would be cut off by the end of the process.
+     */
+    private static final long LAST_ANSWER_MILLIS = 100;
+
     /**
      * The heap reserved per request, in bytes. A request holds several copies of its body and of the text of its turn
      * chain: as read, as encoded for the stores and as sent to the endpoint. The limit on active requests that follows
@@ -173,6 +179,7 @@
     public void shutdown(long timeoutMillis) {
         stopping = true;
         long startMillis = nowMillis();
+        context.stopMillis(startMillis + timeoutMillis - LAST_ANSWER_MILLIS);
         LOG.infof(
                 "gateway: Stopping within %d ms, %d requests active",
                 timeoutMillis, context.activeRequests().get());
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
@@ -29,7 +29,7 @@
         SiteIndex index = context.site();
         AdmittedRequest admitted;
         try {
-            admitted = Admission.admit(caller, index);
+            admitted = Admission.admit(caller, index).endingBy(context.stopMillis());
         } catch (RefusedException e) {
             scope.refuse(e.refusal());
             return;
