Reword comments of the soak

Cause: read as a newcomer, two comments say other than the code does. Change: comments, and a constant that was used once. Measured: compiles; no behaviour changes.

--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCommand.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCommand.java
@@ -21,7 +21,7 @@
         description = "Runs hubs, stores and entries under random faults and checks their promises.")
 public final class SoakCommand implements Callable<Integer> {
     private static final double LIMIT_PER_SECOND = 4;
-    /** Entries are disturbed by planned stops alone in each run whose seed is a multiple of this. */
+    /** A run whose seed is a multiple of this disturbs entries by planned stops alone. */
     private static final int CALM_SEEDS = 3;
     /** The time without disturbance of an entry after which the check of request limits applies, in milliseconds. */
     private static final long CALM_MILLIS = 8_000;
@@ -87,7 +87,7 @@
         return violations.isEmpty() ? 0 : 1;
     }
 
-    /** Starts an endpoint; two versions share the service, and every second pair of endpoints states limits. */
+    /** Starts an endpoint; endpoints differ in their version by turns, and every other pair of them states limits. */
     private SoakEndpoint endpoint(int number, SoakFleet fleet) throws FleetException {
         String id = "endpoint-" + number;
         SoakLimit limit = new SoakLimit(
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
@@ -15,7 +15,6 @@
 
 /** The processes of a small deployment, each at a loopback address of its own. */
 final class SoakFleet implements Closeable {
-    private static final int FIRST_NET = 77;
     private static final int FIRST_HOST = 11;
     private static final long EXIT_MILLIS = 10_000;
 
@@ -40,7 +39,7 @@
 
         Member(String role, int number) {
             this.role = role;
-            this.host = "127.0." + FIRST_NET + "." + (FIRST_HOST + members.size());
+            this.host = "127.0.77." + (FIRST_HOST + members.size());
             this.settings = folder.resolve(role + number + ".json");
             this.process = new ManagedProcess(
                     role + number,
@@ -101,12 +100,12 @@
             }
         }
 
-        /** Notes that the process is killed or frozen now, so that it may lose requests. */
+        /** Notes that the process is killed, frozen or thawed now, so that it may lose requests. */
         void disturbed() {
             disturbedMillis = SoakJudge.now();
         }
 
-        /** Returns whether the process was neither killed nor frozen since a time, and is not about to be thawed. */
+        /** Returns whether the process was neither killed, frozen nor thawed since a time. */
         boolean calmSince(long millis) {
             return disturbedMillis < millis;
         }
