Refuse requests that arrive at the end of a planned stop

Change: a request that arrives within the last 500 ms of a stop is refused as not run (shutting_down), so that its caller goes to another entry.

--- a/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
@@ -16,6 +16,12 @@
      */
     private static final long OVERLOAD_RETRY_MILLIS = 150;
 
+    /**
+     * The time before the end of a shutdown from which on requests are refused, in milliseconds: several times the
+     * usual duration of a request, so that one that is still accepted ends before the process does.
+     */
+    private static final long MIN_RUN_BEFORE_STOP_MILLIS = 500;
+
     private RequestFlow() {}
 
     /** Serves a request and sends its response through the exchange. */
@@ -26,6 +32,10 @@
             scope.refuse(new GatewayRefusal(RefusalReason.ENTRY_OVERLOADED, OVERLOAD_RETRY_MILLIS));
             return;
         }
+        if (context.nowMillis() > context.stopMillis() - MIN_RUN_BEFORE_STOP_MILLIS) {
+            scope.refuse(RefusalReason.SHUTTING_DOWN);
+            return;
+        }
         SiteIndex index = context.site();
         AdmittedRequest admitted;
         try {
