Show a request that crashes engines without end

Cause: the entries keep nothing of requests that crash engines; only max_attempts bounds the engines of one client attempt.

--- a/review/kit/Engine.java
+++ b/review/kit/Engine.java
@@ -23,7 +23,7 @@
     private final Handler handler;
     private final ServerSocket server;
     private final Set<Socket> channels = ConcurrentHashMap.newKeySet();
-    private final long born = System.currentTimeMillis();
+    private volatile long born = System.currentTimeMillis();
     private int seq;
     volatile boolean down;
     private volatile boolean closed;
@@ -100,6 +100,25 @@
         channels.forEach(Engine::reset);
     }
 
+    /** Crashes now and is back after a time, under its id, as a new incarnation that knows nothing of before. */
+    void crashFor(Fleet fleet, long millis) {
+        crash();
+        thread(() -> {
+            try {
+                Thread.sleep(millis);
+            } catch (InterruptedException e) {
+                return;
+            }
+            synchronized (this) {
+                born = System.currentTimeMillis();
+                seq = 0;
+            }
+            down = false;
+            record.line("engine %s is back", id);
+            report(fleet, "ready");
+        });
+    }
+
     static void reset(Socket socket) {
         try {
             socket.setSoLinger(true, 0);
