Reset a stream whose resumption fails

Cause: a failure is accepted as the answer when no attempt is left, or when it is a 4xx, also if the caller has received a part of the stream. The body was then written as the last chunk of the response. Ruled out: the parser of events and the end of the first endpoint's stream.

Change: an attempt that resumes a stream accepts only a success. Any other response is retried while the route has attempts left; then the response is reset, which the caller can tell from an end.

--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -382,7 +382,7 @@
             synchronized (scope) {
                 if (isCurrent()) {
                     RetryReason reason = relay.checkHead(
-                            head, possibleRuns < admitted.route().maxAttempts());
+                            head, possibleRuns < admitted.route().maxAttempts(), scope.hasStreamStarted());
                     if (reason == null || reason.isAnswered()) {
                         placement.limitStated(
                                 head.requestLimit(), scope.context().nowMillis());
--- a/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
@@ -43,8 +43,14 @@
         return next;
     }
 
-    /** Checks the response head; returns the reason to retry at another endpoint, or null to accept the response. */
-    RetryReason checkHead(ResponseHead received, boolean attemptsLeft) {
+    /**
+     * Checks the response head; returns the reason to retry at another endpoint, or null to accept the response.
+     *
+     * @param received the head
+     * @param attemptsLeft whether the request may be sent to a further endpoint
+     * @param streamStarted whether the caller has received a part of the stream; no failure can be passed on then
+     */
+    RetryReason checkHead(ResponseHead received, boolean attemptsLeft, boolean streamStarted) {
         head = received;
         if (!received.attempt().equals(admitted.caller().attempt())) {
             // A late copy of an earlier response on this connection tells nothing about this request.
@@ -56,6 +62,9 @@
         if (received.isSuccess() && !received.signature()) {
             return RetryReason.BAD_ANSWER;
         }
+        if (streamStarted && !received.isSuccess()) {
+            return RetryReason.FAILED;
+        }
         boolean failed = received.status() >= SERVER_ERROR;
         return failed && attemptsLeft && admitted.route().mayRepeat() ? RetryReason.FAILED : null;
     }
--- a/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
@@ -56,7 +56,8 @@
                         route("/once/", Repetition.NON_IDEMPOTENT, false),
                         route("/sticky/", Repetition.IDEMPOTENT, false),
                         route("/stream/", Repetition.STREAM, false),
-                        route("/resume/", Repetition.STREAM, true)),
+                        route("/resume/", Repetition.STREAM, true),
+                        route("/resume3/", Repetition.STREAM, true, 3)),
                 List.of(new SiteService("s", "/health", 10, null)),
                 List.of(organisation),
                 CallerLimits.STANDARD)));
@@ -67,6 +68,10 @@
     }
 
     private static SiteRoute route(String prefix, Repetition repetition, boolean resumable) {
+        return route(prefix, repetition, resumable, 2);
+    }
+
+    private static SiteRoute route(String prefix, Repetition repetition, boolean resumable, int maxAttempts) {
         return new SiteRoute(
                 prefix,
                 "h",
@@ -81,7 +86,7 @@
                 3_000,
                 200,
                 250,
-                2,
+                maxAttempts,
                 List.of(new WeightedService("s", 1)));
     }
 
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -223,6 +223,41 @@
         assertThat(caller.reset).isTrue();
     }
 
+    /**
+     * An endpoint at which a stream is resumed fails. Its error body must not follow the events of the first endpoint,
+     * and the stream must not end as complete.
+     */
+    @Test
+    void aStreamIsResetIfTheLastEndpointFailsToResumeIt() {
+        for (int status : List.of(500, 404)) {
+            FakeExchange each = new FakeExchange();
+            RequestFlow.serve(context, GatewayFixture.request("a" + status, "POST", "/resume/x", "k", 2_000), each);
+            endpoints.last().head(200, true, false);
+            endpoints.last().event(1);
+            endpoints.last().listener.failed(true, "reset");
+            endpoints.last().answer(status, "the endpoint failed");
+            assertThat(each.body.toString()).isEqualTo(EVENT_1);
+            assertThat(each.reset).isTrue();
+            assertThat(each.ended).isFalse();
+        }
+    }
+
+    /** A stream that has begun goes on at a further endpoint after one has failed, while attempts are left. */
+    @Test
+    void aStreamSkipsAnEndpointThatFailsToResumeIt() {
+        send("/resume3/x");
+        endpoints.last().head(200, true, false);
+        endpoints.last().event(1);
+        endpoints.last().listener.failed(true, "reset");
+        endpoints.last().answer(404, "unknown");
+        endpoints.last().head(200, true, false);
+        endpoints.last().event(2);
+        endpoints.last().listener.end();
+        assertThat(endpoints.sent).hasSize(3);
+        assertThat(caller.body.toString()).isEqualTo(EVENT_1 + EVENT_2);
+        assertThat(caller.ended).isTrue();
+    }
+
     /**
      * When the caller disconnects, the request to the endpoint must be cancelled, and a late response must be ignored.
      */
