Quarantine requests that crash endpoints

Cause: an entry bounds the endpoints of one attempt by max_attempts and keeps nothing beyond it; entries tell each other nothing.

Change: entries report the fingerprint of a request and the incarnation of the endpoint whose connection was lost while it ran it to the hubs, which tell all entries. Three incarnations without a signed answer in between put the request into quarantine: all entries refuse it as not run with the time left. An answer refutes the evidence before it, so that requests that merely ran beside the crash are cleared.

--- a/core/src/main/java/org/cicadahead/fleet/FleetMessages.java
+++ b/core/src/main/java/org/cicadahead/fleet/FleetMessages.java
@@ -25,6 +25,7 @@
                 ReadDecommission.class,
                 ReadSite.class,
                 ReadStoreMembers.class,
+                ReportCrashes.class,
                 DecommissionStore.class,
                 DecommissionState.class,
                 SiteDocument.class,
--- a/core/src/main/java/org/cicadahead/fleet/FleetUpdate.java
+++ b/core/src/main/java/org/cicadahead/fleet/FleetUpdate.java
@@ -14,6 +14,7 @@
  * @param daemons all daemons that watch this hub, and the hub itself; null if unchanged
  * @param storeFounder the address of the store that bootstraps the group of stores; empty if it is not decided yet
  * @param decommissioned the addresses of stores that are being decommissioned; null if unchanged
+ * @param crashes new observations of requests that may have crashed endpoints
  */
 public record FleetUpdate(
         SiteConfiguration site,
@@ -21,13 +22,18 @@
         List<String> alive,
         List<DaemonPlace> daemons,
         String storeFounder,
-        List<String> decommissioned)
+        List<String> decommissioned,
+        List<CrashEvidence> crashes)
         implements Message {
 
-    /** Makes immutable copies of the endpoint lists; null becomes an empty list. */
+    /**
+     * Makes immutable copies of the lists of endpoints and crashes; null becomes an empty list, because hubs of earlier
+     * releases send no crashes.
+     */
     public FleetUpdate {
         endpoints = endpoints == null ? List.of() : List.copyOf(endpoints);
         alive = alive == null ? List.of() : List.copyOf(alive);
+        crashes = crashes == null ? List.of() : List.copyOf(crashes);
     }
 
     /**
@@ -37,7 +43,7 @@
      * @return the update
      */
     public static FleetUpdate of(EndpointRecord endpoint) {
-        return new FleetUpdate(null, List.of(endpoint), null, null, "", null);
+        return new FleetUpdate(null, List.of(endpoint), null, null, "", null, null);
     }
 
     /**
@@ -47,7 +53,7 @@
      * @return the update
      */
     public static FleetUpdate ofAlive(Collection<String> ids) {
-        return new FleetUpdate(null, null, List.copyOf(ids), null, "", null);
+        return new FleetUpdate(null, null, List.copyOf(ids), null, "", null, null);
     }
 
     /**
@@ -57,7 +63,17 @@
      * @return the update
      */
     public static FleetUpdate ofDaemons(List<DaemonPlace> daemons) {
-        return new FleetUpdate(null, null, null, daemons, "", null);
+        return new FleetUpdate(null, null, null, daemons, "", null, null);
+    }
+
+    /**
+     * Returns an update that reports requests that may have crashed endpoints.
+     *
+     * @param crashes the observations
+     * @return the update
+     */
+    public static FleetUpdate ofCrashes(List<CrashEvidence> crashes) {
+        return new FleetUpdate(null, null, null, null, "", null, crashes);
     }
 
     /**
@@ -66,6 +82,8 @@
      * @return the update
      */
     public FleetUpdate withoutSite() {
-        return site == null ? this : new FleetUpdate(null, endpoints, alive, daemons, storeFounder, decommissioned);
+        return site == null
+                ? this
+                : new FleetUpdate(null, endpoints, alive, daemons, storeFounder, decommissioned, crashes);
     }
 }
--- a/core/src/main/java/org/cicadahead/model/RefusalReason.java
+++ b/core/src/main/java/org/cicadahead/model/RefusalReason.java
@@ -90,6 +90,11 @@
     STREAM_VERSION_UNAVAILABLE(503, "The stream cannot be resumed", true, 0),
     /** The request has crashed endpoints before and is refused temporarily. */
     REQUEST_POISONOUS(422, "The request has crashed endpoints", true, 600),
+    /**
+     * The request has crashed several endpoints and is in quarantine. The status states that it has not run, which
+     * {@link #REQUEST_POISONOUS} does not.
+     */
+    REQUEST_QUARANTINED(503, "The request has crashed several endpoints", true, 120),
     /** The caller reads the response too slowly. */
     CALLER_TOO_SLOW(408, "The caller reads too slowly", false, 0),
     /** The caller closed the connection. */
--- /dev/null
+++ b/gateway/src/main/java/org/cicadahead/gateway/CrashTracker.java
@@ -0,0 +1,127 @@
+package org.cicadahead.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.cicadahead.fleet.CrashEvidence;
+import org.cicadahead.fleet.EndpointRecord;
+import org.cicadahead.fleet.ReportCrashes;
+import org.cicadahead.model.RequestFingerprint;
+import org.cicadahead.protocol.Done;
+import org.cicadahead.quarantine.CrashTable;
+import org.jboss.logging.Logger;
+
+/**
+ * Tracks requests that crash endpoints, and shares what it learns with the other entries through the hubs. Thread-safe;
+ * takes no other lock than that of its table while it holds its own.
+ */
+final class CrashTracker {
+    /**
+     * The interval at which evidence of a quarantine is reported again, in milliseconds. Hubs keep evidence in memory,
+     * and learn it again after all of them have restarted.
+     */
+    private static final long REPEAT_MILLIS = 2_000;
+    /** The maximum number of observations in a report. */
+    private static final int MAX_REPORTED = 500;
+    /** The maximum number of observations that wait while no hub answers; those of the last report are then dropped. */
+    private static final int MAX_UNREPORTED = 4_096;
+
+    private static final Logger LOG = Logger.getLogger("cicadahead.gateway");
+
+    private final CrashTable table = CrashTable.create();
+    private final List<CrashEvidence> unreported = new ArrayList<>();
+    private boolean reporting;
+    private long repeatedMillis = Long.MIN_VALUE;
+
+    /** Returns how long a request remains in quarantine, in milliseconds; empty if it may be sent. */
+    OptionalLong quarantineMillis(AdmittedRequest request, long nowMillis) {
+        return mayHold(request) ? table.quarantineMillis(fingerprint(request), nowMillis) : OptionalLong.empty();
+    }
+
+    /** Records that the connection to an endpoint was lost while it ran a request. */
+    void lost(AdmittedRequest request, EndpointRecord endpoint, long nowMillis) {
+        String incarnation = endpoint.id() + "@" + endpoint.bornMillis();
+        CrashEvidence evidence = new CrashEvidence(fingerprint(request), incarnation, false, 0);
+        if (add(evidence, nowMillis)) {
+            report(List.of(evidence));
+        }
+    }
+
+    /** Records a response; one that proves that the endpoint ran the request refutes that it crashes endpoints. */
+    void answered(AdmittedRequest request, ResponseHead head, long nowMillis) {
+        if (head.signature() && mayHold(request)) {
+            List<CrashEvidence> refuted = table.refute(fingerprint(request), nowMillis);
+            if (!refuted.isEmpty()) {
+                report(refuted);
+            }
+        }
+    }
+
+    /** Merges the observations of other entries. */
+    void merge(List<CrashEvidence> crashes, long nowMillis) {
+        crashes.forEach(evidence -> add(evidence, nowMillis));
+    }
+
+    /**
+     * Sends new observations to a hub. Those of a report that fails are sent again.
+     *
+     * @param hubs sends a report to any hub
+     * @param nowMillis monotonic time in milliseconds
+     */
+    void tick(Function<ReportCrashes, CompletableFuture<Done>> hubs, long nowMillis) {
+        List<CrashEvidence> batch;
+        synchronized (this) {
+            if (reporting) {
+                return;
+            }
+            if (nowMillis >= repeatedMillis + REPEAT_MILLIS) {
+                repeatedMillis = nowMillis;
+                table.expire(nowMillis);
+                unreported.addAll(table.quarantineEvidence(nowMillis));
+            }
+            if (unreported.isEmpty()) {
+                return;
+            }
+            batch = List.copyOf(unreported.subList(0, Math.min(MAX_REPORTED, unreported.size())));
+            unreported.subList(0, batch.size()).clear();
+            reporting = true;
+        }
+        hubs.apply(new ReportCrashes(batch)).whenComplete((done, failure) -> reported(batch, failure == null));
+    }
+
+    private synchronized void reported(List<CrashEvidence> batch, boolean received) {
+        reporting = false;
+        if (!received && unreported.size() < MAX_UNREPORTED) {
+            unreported.addAll(0, batch);
+        }
+    }
+
+    private synchronized void report(List<CrashEvidence> evidence) {
+        unreported.addAll(evidence);
+    }
+
+    private boolean add(CrashEvidence evidence, long nowMillis) {
+        RequestFingerprint request = evidence.request();
+        boolean wasQuarantined = table.quarantineMillis(request, nowMillis).isPresent();
+        boolean added = table.add(evidence, nowMillis);
+        OptionalLong quarantine = table.quarantineMillis(request, nowMillis);
+        if (!wasQuarantined && quarantine.isPresent()) {
+            LOG.warnf(
+                    "gateway: Requests %s are in quarantine for %d ms, the last endpoint lost is %s",
+                    request, quarantine.getAsLong(), evidence.incarnation());
+        }
+        return added;
+    }
+
+    private boolean mayHold(AdmittedRequest request) {
+        return table.mayHold(RequestFingerprint.summary(
+                request.caller().target(), request.caller().body().length));
+    }
+
+    private static RequestFingerprint fingerprint(AdmittedRequest request) {
+        CallerRequest caller = request.caller();
+        return RequestFingerprint.of(request.organisationName(), caller.method(), caller.target(), caller.body());
+    }
+}
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -130,6 +130,13 @@
                 }
                 return;
             }
+            OptionalLong quarantine = scope.context().crashes().quarantineMillis(admitted, now);
+            if (quarantine.isPresent()) {
+                refuse(
+                        possibleRuns > 0 ? RefusalReason.ENDPOINT_LOST : RefusalReason.REQUEST_QUARANTINED,
+                        quarantine.getAsLong());
+                return;
+            }
             placement = place(versions.isExtendable(), now);
             if (placement != null) {
                 begin(now, leftMillis);
@@ -322,7 +329,13 @@
 
     /** Retries at another endpoint if the route, the attempt limit and the time left allow it. */
     private void retry(RetryReason reason) {
-        placement.failed(reason, scope.context().nowMillis());
+        long now = scope.context().nowMillis();
+        placement.failed(reason, now);
+        if (reason == RetryReason.LOST) {
+            scope.context().crashes().lost(admitted, placement.record(), now);
+        } else if (reason == RetryReason.FAILED) {
+            scope.context().crashes().answered(admitted, relay.head(), now);
+        }
         abandon(reason.code());
         if (scope.isDone()) {
             turn.closeIncomplete(tokens);
@@ -350,6 +363,7 @@
         long now = scope.context().nowMillis();
         double millis = (double) (now - sentMillis) / Math.max(1, relay.eventCount());
         placement.succeeded(admitted.route().name(), millis, now);
+        scope.context().crashes().answered(admitted, head, now);
         traceAttempt("ok", now);
         placement = null;
         cancellation = null;
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
@@ -12,6 +12,7 @@
     private final TurnStores stores;
     private final TurnTextCache turnTexts = new TurnTextCache();
     private final ProgramTracker programs = new ProgramTracker();
+    private final CrashTracker crashes = new CrashTracker();
     private final EndpointClient endpoints;
     private final GatewayCounters counters;
     private final DecisionLog decisions;
@@ -66,6 +67,10 @@
         return programs;
     }
 
+    CrashTracker crashes() {
+        return crashes;
+    }
+
     EndpointClient endpoints() {
         return endpoints;
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
@@ -11,9 +11,11 @@
 import org.cicadahead.fleet.FleetRole;
 import org.cicadahead.fleet.FleetUpdate;
 import org.cicadahead.fleet.QuotaShares;
+import org.cicadahead.fleet.ReportCrashes;
 import org.cicadahead.fleet.RequestQuota;
 import org.cicadahead.node.DaemonThreads;
 import org.cicadahead.node.Node;
+import org.cicadahead.protocol.Done;
 import org.cicadahead.protocol.MessageCatalog;
 import org.cicadahead.site.CallerLimits;
 import org.cicadahead.site.SiteConfiguration;
@@ -219,6 +221,7 @@
     private void tick() {
         try {
             rateLimiter.tick();
+            context.crashes().tick(this::reportCrashes, nowMillis());
         } catch (RuntimeException e) {
             LOG.errorf(e, "gateway: Timer task failed");
         }
@@ -228,6 +231,10 @@
         return hubs.call(request, QuotaShares.class, SHARES_TIMEOUT_MILLIS);
     }
 
+    private CompletableFuture<Done> reportCrashes(ReportCrashes report) {
+        return hubs.call(report, Done.class, SHARES_TIMEOUT_MILLIS);
+    }
+
     private synchronized void applyConfiguration(SiteConfiguration site) {
         SiteIndex current = context.site();
         if (current == null || site.version() > current.site().version()) {
@@ -239,6 +246,7 @@
 
     private void applyUpdate(FleetUpdate update) {
         selector.applyUpdate(update, nowMillis());
+        context.crashes().merge(update.crashes(), nowMillis());
         if (update.site() != null) {
             applyConfiguration(update.site());
         }
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
@@ -1,5 +1,6 @@
 package org.cicadahead.gateway;
 
+import java.util.OptionalLong;
 import org.cicadahead.fleet.PriorityClass;
 import org.cicadahead.model.RefusalReason;
 import org.cicadahead.site.SiteIndex;
@@ -48,6 +49,11 @@
         if (admitted.affinity() == null) {
             context.counters().affinityIgnored();
         }
+        OptionalLong quarantine = context.crashes().quarantineMillis(admitted, context.nowMillis());
+        if (quarantine.isPresent()) {
+            scope.refuse(new GatewayRefusal(RefusalReason.REQUEST_QUARANTINED, quarantine.getAsLong()));
+            return;
+        }
         scope.expireAt(admitted.deadlineMillis());
         PriorityClass priority = context.programs().priority(admitted, caller.receivedMillis());
         scope.trace().priority(priority);
--- a/gateway/src/main/java/org/cicadahead/hub/HubService.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubService.java
@@ -11,10 +11,12 @@
 import org.cicadahead.fleet.QuotaShares;
 import org.cicadahead.fleet.ReadDecommission;
 import org.cicadahead.fleet.ReadSite;
+import org.cicadahead.fleet.ReportCrashes;
 import org.cicadahead.fleet.RequestQuota;
 import org.cicadahead.fleet.SiteDocument;
 import org.cicadahead.fleet.SubmitSite;
 import org.cicadahead.fleet.WatchFleet;
+import org.cicadahead.protocol.Done;
 import org.cicadahead.protocol.Message;
 import org.cicadahead.protocol.NotLeader;
 import org.cicadahead.quota.QuotaTable;
@@ -70,6 +72,9 @@
             node.handle(request, responder);
         } else if (request instanceof WatchFleet watch) {
             watchers.add(watch.daemon(), responder, clock.getAsLong());
+        } else if (request instanceof ReportCrashes report) {
+            watchers.crashesReported(report.crashes(), clock.getAsLong());
+            responder.reply(Done.ok());
         } else if (!node.holdsLease(clock.getAsLong())) {
             responder.reply(new NotLeader(node.leaderAddress()));
         } else {
--- a/gateway/src/main/java/org/cicadahead/hub/Watchers.java
+++ b/gateway/src/main/java/org/cicadahead/hub/Watchers.java
@@ -10,11 +10,13 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.cicadahead.fleet.CrashEvidence;
 import org.cicadahead.fleet.DaemonPlace;
 import org.cicadahead.fleet.EndpointRecord;
 import org.cicadahead.fleet.FleetRole;
 import org.cicadahead.fleet.FleetUpdate;
 import org.cicadahead.placement.EndpointRegistry;
+import org.cicadahead.quarantine.CrashTable;
 import org.cicadahead.wire.Responder;
 import org.jboss.logging.Logger;
 
@@ -44,6 +46,7 @@
     private final ScheduledExecutorService timer;
     private final Map<Responder, DaemonPlace> watchers = new LinkedHashMap<>();
     private final Set<String> alive = new TreeSet<>();
+    private final CrashTable crashes = CrashTable.create();
     private SiteState state = SiteState.EMPTY;
     private boolean broadcastScheduled;
 
@@ -64,7 +67,8 @@
                     List.of(),
                     daemons(),
                     state.storeFounder(),
-                    List.copyOf(state.decommissioned().values()));
+                    List.copyOf(state.decommissioned().values()),
+                    crashes.evidence(nowMillis));
             responder.part(daemon.role() == FleetRole.ENTRY ? fullUpdate : fullUpdate.withoutSite());
             scheduleBroadcast();
         }
@@ -95,6 +99,21 @@
             }
         }
         reported.alive().forEach(id -> registry.refresh(id, nowMillis));
+        broadcastCrashes(reported.crashes(), watcher -> watcher.role() == FleetRole.ENTRY, nowMillis);
+    }
+
+    /** Merges what an entry reports of requests that may have crashed endpoints, and passes on what is new. */
+    synchronized void crashesReported(List<CrashEvidence> reported, long nowMillis) {
+        broadcastCrashes(reported, watcher -> watcher.role() != FleetRole.STORE, nowMillis);
+    }
+
+    private void broadcastCrashes(List<CrashEvidence> reported, Predicate<DaemonPlace> receivers, long nowMillis) {
+        List<CrashEvidence> added = reported.stream()
+                .filter(evidence -> crashes.add(evidence, nowMillis))
+                .toList();
+        if (!added.isEmpty()) {
+            broadcast(FleetUpdate.ofCrashes(added), receivers);
+        }
     }
 
     /** Broadcasts the ids of the endpoints with unchanged heartbeats since the last call. */
@@ -104,6 +123,7 @@
             alive.clear();
         }
         registry.evictExpired(nowMillis);
+        crashes.expire(nowMillis);
     }
 
     /** Broadcasts a change of the replicated state. */
@@ -121,7 +141,8 @@
                 null,
                 null,
                 next.storeFounder(),
-                decommissioned ? List.copyOf(next.decommissioned().values()) : null));
+                decommissioned ? List.copyOf(next.decommissioned().values()) : null,
+                null));
     }
 
     /** Returns the watching daemons of a role. */
--- /dev/null
+++ b/gateway/src/test/java/org/cicadahead/gateway/CrashQuarantineTest.java
@@ -0,0 +1,140 @@
+package org.cicadahead.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.cicadahead.fleet.CrashEvidence;
+import org.cicadahead.fleet.EndpointPhase;
+import org.cicadahead.fleet.EndpointRecord;
+import org.cicadahead.fleet.FleetUpdate;
+import org.cicadahead.fleet.ReportCrashes;
+import org.cicadahead.model.RefusalReason;
+import org.cicadahead.protocol.Done;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a request that crashes each endpoint that runs it and is repeated at all entries. */
+class CrashQuarantineTest {
+    private static final String POISON = "/safe/poison";
+
+    private final GatewayFixture first = new GatewayFixture();
+    private final GatewayFixture second = new GatewayFixture();
+    private final List<CrashEvidence> reported = new ArrayList<>();
+    private int attempts;
+
+    @AfterEach
+    void stop() {
+        first.timer.shutdownNow();
+        second.timer.shutdownNow();
+    }
+
+    private FakeExchange send(GatewayFixture entry, String path) {
+        FakeExchange caller = new FakeExchange();
+        RequestFlow.serve(entry.context, GatewayFixture.request("a" + ++attempts, "GET", path, "k", 2_000), caller);
+        return caller;
+    }
+
+    /** Sends a request whose endpoints all crash; returns the reason why it failed. */
+    private RefusalReason crash(GatewayFixture entry, String path) {
+        FakeExchange caller = send(entry, path);
+        while (caller.refusal == null) {
+            entry.endpoints.last().listener.failed(true, "reset");
+        }
+        return caller.refusal.reason();
+    }
+
+    /** Endpoints that crashed are back as new incarnations. */
+    private static void restartEndpoints(GatewayFixture entry, int born) {
+        for (String id : List.of("a", "b", "c")) {
+            EndpointRecord record = new EndpointRecord(id, born, 1, "s", id + ":1", "z", 4, EndpointPhase.READY, 0, "");
+            entry.selector.applyUpdate(FleetUpdate.of(record), GatewayNode.nowMillis());
+        }
+    }
+
+    /** Delivers what an entry reports to another one. */
+    private void exchange(GatewayFixture from, GatewayFixture to) {
+        from.context.crashes().tick(report -> receive(report, to), GatewayNode.nowMillis());
+    }
+
+    private CompletableFuture<Done> receive(ReportCrashes report, GatewayFixture to) {
+        reported.addAll(report.crashes());
+        to.context.crashes().merge(report.crashes(), GatewayNode.nowMillis());
+        return CompletableFuture.completedFuture(Done.ok());
+    }
+
+    /** After three crashes the request must reach no endpoint, neither from this entry nor from another. */
+    @Test
+    void reachesNoEndpointAfterThreeCrashesAtAnyEntry() {
+        assertThat(crash(first, POISON)).isEqualTo(RefusalReason.ENDPOINT_LOST);
+        exchange(first, second);
+        restartEndpoints(second, 1);
+        assertThat(crash(second, POISON)).isEqualTo(RefusalReason.ENDPOINT_LOST);
+        assertThat(second.endpoints.sent).hasSize(1);
+        exchange(second, first);
+        for (GatewayFixture entry : List.of(first, second)) {
+            int sent = entry.endpoints.sent.size();
+            FakeExchange caller = send(entry, POISON);
+            assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.REQUEST_QUARANTINED);
+            assertThat(caller.refusal.reason().notRun()).isTrue();
+            assertThat(caller.refusal.retryAfterMillis()).isGreaterThan(0L);
+            assertThat(entry.endpoints.sent).hasSize(sent);
+        }
+    }
+
+    /** Requests that merely ran beside the one that crashed their endpoints must be served. */
+    @Test
+    void servesARequestThatIsAnsweredAfterItsEndpointsCrashed() {
+        crash(first, POISON);
+        exchange(first, second);
+        FakeExchange served = send(second, POISON);
+        second.endpoints.last().answer(200, "done");
+        assertThat(served.body.toString()).isEqualTo("done");
+        exchange(second, first);
+        restartEndpoints(first, 1);
+        crash(first, POISON);
+        send(first, POISON);
+        assertThat(first.endpoints.sent).hasSize(5);
+    }
+
+    /** Another body or path is another request. */
+    @Test
+    void refusesOnlyTheRequestThatCrashes() {
+        crash(first, POISON);
+        restartEndpoints(first, 1);
+        crash(first, POISON);
+        assertThat(send(first, POISON).refusal.reason()).isEqualTo(RefusalReason.REQUEST_QUARANTINED);
+        assertThat(send(first, "/safe/other").refusal).isNull();
+    }
+
+    /** An answer that does not prove that the endpoint ran the request says nothing about it. */
+    @Test
+    void isNotClearedByAnUnsignedAnswer() {
+        crash(first, POISON);
+        send(first, POISON);
+        first.endpoints.last().head(404, false, false);
+        first.endpoints.last().listener.end();
+        restartEndpoints(first, 1);
+        crash(first, POISON);
+        assertThat(send(first, POISON).refusal.reason()).isEqualTo(RefusalReason.REQUEST_QUARANTINED);
+    }
+
+    /** A report that does not arrive is sent again, and hubs that have lost their memory learn of a quarantine. */
+    @Test
+    void repeatsReports() {
+        crash(first, POISON);
+        long now = GatewayNode.nowMillis();
+        first.context
+                .crashes()
+                .tick(report -> CompletableFuture.failedFuture(new IllegalStateException("no hub")), now);
+        first.context.crashes().tick(report -> receive(report, second), now);
+        assertThat(reported).hasSize(2);
+        restartEndpoints(first, 1);
+        crash(first, POISON);
+        first.context.crashes().tick(report -> receive(report, second), now);
+        assertThat(reported).hasSize(3);
+        first.context.crashes().tick(report -> receive(report, second), now + 2_000);
+        assertThat(reported).hasSize(6);
+    }
+}
--- a/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
@@ -64,7 +64,7 @@
         List<EndpointRecord> ready = List.of("a", "b", "c").stream()
                 .map(id -> new EndpointRecord(id, 0, 1, "s", id + ":1", "z", 4, EndpointPhase.READY, 0, ""))
                 .toList();
-        selector.applyUpdate(new FleetUpdate(null, ready, null, null, "", null), GatewayNode.nowMillis());
+        selector.applyUpdate(new FleetUpdate(null, ready, null, null, "", null, null), GatewayNode.nowMillis());
     }
 
     private static SiteRoute route(String prefix, Repetition repetition, boolean resumable) {
--- a/gateway/src/test/java/org/cicadahead/hub/HubNodeTest.java
+++ b/gateway/src/test/java/org/cicadahead/hub/HubNodeTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import org.cicadahead.fleet.CrashEvidence;
 import org.cicadahead.fleet.DaemonPlace;
 import org.cicadahead.fleet.EndpointPhase;
 import org.cicadahead.fleet.EndpointRecord;
@@ -22,8 +23,11 @@
 import org.cicadahead.fleet.PriorityClass;
 import org.cicadahead.fleet.QuotaNeed;
 import org.cicadahead.fleet.QuotaShares;
+import org.cicadahead.fleet.ReportCrashes;
 import org.cicadahead.fleet.RequestQuota;
 import org.cicadahead.fleet.SiteStored;
+import org.cicadahead.model.RequestFingerprint;
+import org.cicadahead.protocol.Done;
 import org.cicadahead.protocol.MessageCatalog;
 import org.cicadahead.quota.QuotaTolerance;
 import org.cicadahead.replication.ReplicatedNode;
@@ -125,6 +129,29 @@
                 .toList();
     }
 
+    /** Every entry must learn which requests crash endpoints, also one that starts after the report. */
+    @Test
+    void passesReportsOfCrashesToAllEntries() throws Exception {
+        submit(1);
+        List<FleetUpdate> before = watch("e1");
+        await(() -> versions(before).contains(1L));
+        CrashEvidence crash =
+                new CrashEvidence(RequestFingerprint.of("o", "GET", "/x", new byte[0]), "endpoint@1", false, 0);
+        try (ControlClient client = ControlClient.to(List.of(Addresses.parse(address)), catalog)) {
+            client.call(new ReportCrashes(List.of(crash)), Done.class, 2_000).get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        }
+        await(() -> reportsCrash(before, crash));
+        List<FleetUpdate> after = watch("e2");
+        await(() -> reportsCrash(after, crash));
+    }
+
+    private static boolean reportsCrash(List<FleetUpdate> updates, CrashEvidence crash) {
+        return updates.stream()
+                .flatMap(update -> update.crashes().stream())
+                .anyMatch(each -> each.request().equals(crash.request())
+                        && each.incarnation().equals(crash.incarnation()));
+    }
+
     /** A restarted hub replays its log and with it earlier configurations, which it must not send to entries. */
     @Test
     void aRestartedHubSendsNoOutdatedVersion() throws Exception {
