Answer requests that resemble a suspect

Cause: CrashTable.refute changed an immutable empty map if the table held another request with the same summary (path and body size), and threw. The response to such a request never reached its caller.

Change: a request that the table does not hold refutes nothing.

--- a/gateway/src/main/java/org/cicadahead/quarantine/CrashTable.java
+++ b/gateway/src/main/java/org/cicadahead/quarantine/CrashTable.java
@@ -100,8 +100,12 @@
      * @return the evidence that is refuted now; empty if there was none
      */
     public synchronized List<CrashEvidence> refute(RequestFingerprint request, long nowMillis) {
+        Map<String, Crash> crashes = requests.get(request);
+        if (crashes == null) {
+            return List.of();
+        }
         List<CrashEvidence> refuted = new ArrayList<>();
-        requests.getOrDefault(request, Map.of()).replaceAll((incarnation, crash) -> {
+        crashes.replaceAll((incarnation, crash) -> {
             if (crash.refuted()) {
                 return crash;
             }
--- a/gateway/src/test/java/org/cicadahead/quarantine/CrashTableTest.java
+++ b/gateway/src/test/java/org/cicadahead/quarantine/CrashTableTest.java
@@ -56,6 +56,16 @@
         assertThat(isQuarantined(NOW)).isTrue();
     }
 
+    /** The answer to a request that has the summary of a suspect, but another organisation, concerns no suspect. */
+    @Test
+    void anAnswerToAnotherRequestWithTheSameSummaryRefutesNothing() {
+        RequestFingerprint other = RequestFingerprint.of("p", "GET", "/poison", new byte[0]);
+        List.of("a@1", "b@1", "c@1").forEach(each -> table.add(crash(each), NOW));
+        assertThat(table.mayHold(other.summary())).isTrue();
+        assertThat(table.refute(other, NOW)).isEmpty();
+        assertThat(isQuarantined(NOW)).isTrue();
+    }
+
     /** A quarantine without end would also refuse a request that a later version of the software can run. */
     @Test
     void theQuarantineEndsAndTheNextLastsTwiceAsLong() {
