Do not take resets of living endpoints for crashes

Cause: each lost connection counted as a crash of the endpoint. An endpoint that breaks off a part of its answers is alive; where many callers send the same request, three such endpoints in a row could put it into quarantine.

Change: an incarnation that answers a request sent to it after the loss has not crashed. Its evidence is refuted, also at the other entries.

Evidence: CrashQuarantineTest. doesNotTakeResetsOfALivingEndpointForACrash (refused before), CrashTableTest.anAnswerOfTheSameIncarnationRefutesItsCrash.

--- a/gateway/src/main/java/org/cicadahead/gateway/CrashTracker.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/CrashTracker.java
@@ -42,21 +42,21 @@
 
     /** Records that the connection to an endpoint was lost while it ran a request. */
     void lost(AdmittedRequest request, EndpointRecord endpoint, long nowMillis) {
-        String incarnation = endpoint.id() + "@" + endpoint.bornMillis();
-        CrashEvidence evidence = new CrashEvidence(fingerprint(request), incarnation, false, 0);
+        CrashEvidence evidence = new CrashEvidence(fingerprint(request), incarnation(endpoint), false, 0);
         if (add(evidence, nowMillis)) {
             report(List.of(evidence));
         }
     }
 
-    /** Records a response; one that proves that the endpoint ran the request refutes that it crashes endpoints. */
-    void answered(AdmittedRequest request, ResponseHead head, long nowMillis) {
-        if (head.signature() && mayHold(request)) {
-            List<CrashEvidence> refuted = table.refute(fingerprint(request), nowMillis);
-            if (!refuted.isEmpty()) {
-                report(refuted);
-            }
+    /**
+     * Records a response that proves that an endpoint ran a request: the request crashes no endpoints, and the endpoint
+     * has not crashed before the request was sent.
+     */
+    void answered(AdmittedRequest request, EndpointRecord endpoint, long sentMillis, long nowMillis) {
+        if (mayHold(request)) {
+            report(table.refute(fingerprint(request), nowMillis));
         }
+        report(table.refuteCrash(incarnation(endpoint), sentMillis, nowMillis));
     }
 
     /** Merges the observations of other entries. */
@@ -98,8 +98,12 @@
         }
     }
 
-    private synchronized void report(List<CrashEvidence> evidence) {
-        unreported.addAll(evidence);
+    private void report(List<CrashEvidence> evidence) {
+        if (!evidence.isEmpty()) {
+            synchronized (this) {
+                unreported.addAll(evidence);
+            }
+        }
     }
 
     private boolean add(CrashEvidence evidence, long nowMillis) {
@@ -120,6 +124,10 @@
                 request.caller().target(), request.caller().body().length));
     }
 
+    private static String incarnation(EndpointRecord endpoint) {
+        return endpoint.id() + "@" + endpoint.bornMillis();
+    }
+
     private static RequestFingerprint fingerprint(AdmittedRequest request) {
         CallerRequest caller = request.caller();
         return RequestFingerprint.of(request.organisationName(), caller.method(), caller.target(), caller.body());
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -334,7 +334,7 @@
         if (reason == RetryReason.LOST) {
             scope.context().crashes().lost(admitted, placement.record(), now);
         } else if (reason == RetryReason.FAILED) {
-            scope.context().crashes().answered(admitted, relay.head(), now);
+            answered(relay.head(), now);
         }
         abandon(reason.code());
         if (scope.isDone()) {
@@ -357,13 +357,20 @@
         send();
     }
 
+    /** Records that the endpoint has run the request if its response proves so. */
+    private void answered(ResponseHead head, long now) {
+        if (head.signature()) {
+            scope.context().crashes().answered(admitted, placement.record(), sentMillis, now);
+        }
+    }
+
     private void complete(ResponseHead head) {
         cancelTimeouts();
         relay.release();
         long now = scope.context().nowMillis();
         double millis = (double) (now - sentMillis) / Math.max(1, relay.eventCount());
         placement.succeeded(admitted.route().name(), millis, now);
-        scope.context().crashes().answered(admitted, head, now);
+        answered(head, now);
         traceAttempt("ok", now);
         placement = null;
         cancellation = null;
--- a/gateway/src/main/java/org/cicadahead/quarantine/CrashTable.java
+++ b/gateway/src/main/java/org/cicadahead/quarantine/CrashTable.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.cicadahead.fleet.CrashEvidence;
 import org.cicadahead.model.RequestFingerprint;
 
@@ -15,7 +17,8 @@
  *
  * <p>A request is put into quarantine once {@value #QUARANTINE_CRASHES} incarnations of endpoints were lost while they
  * ran it and no endpoint has answered it since. All other requests that an endpoint runs when it crashes are lost with
- * it; the answer to any of their repetitions refutes the suspicion. The quarantine ends after a while, because an
+ * it; the answer to any of their repetitions refutes the suspicion. An incarnation that answers a request that was sent
+ * to it later has lost a connection, but has not crashed. The quarantine ends after a while, because an
  * endpoint of a later version may run the request. It lasts twice as long after each further crash.
  *
  * <p>Tables that are merged in any order and repeatedly hold the same evidence.
@@ -40,6 +43,8 @@
     static final int MAX_CRASHES = 12;
 
     private final Map<RequestFingerprint, Map<String, Crash>> requests = new LinkedHashMap<>();
+    /** The requests with evidence that is not refuted, by incarnation. */
+    private final Map<String, Set<RequestFingerprint>> suspects = new HashMap<>();
     /** The number of requests by the summary of their fingerprints. */
     private final Map<Integer, Integer> summaries = new HashMap<>();
 
@@ -86,8 +91,16 @@
             crashes = addRequest(evidence.request());
         }
         crashes.put(evidence.incarnation(), crash);
+        if (crash.refuted()) {
+            unsuspect(evidence.incarnation(), evidence.request());
+        } else {
+            suspects.computeIfAbsent(evidence.incarnation(), key -> new HashSet<>())
+                    .add(evidence.request());
+        }
         if (crashes.size() > MAX_CRASHES) {
-            crashes.remove(crashes.keySet().iterator().next());
+            String first = crashes.keySet().iterator().next();
+            crashes.remove(first);
+            unsuspect(first, evidence.request());
         }
         return true;
     }
@@ -105,14 +118,30 @@
             return List.of();
         }
         List<CrashEvidence> refuted = new ArrayList<>();
-        crashes.replaceAll((incarnation, crash) -> {
-            if (crash.refuted()) {
-                return crash;
+        for (String incarnation : List.copyOf(crashes.keySet())) {
+            if (!crashes.get(incarnation).refuted()) {
+                refuted.add(refute(request, incarnation, nowMillis));
             }
-            Crash next = new Crash(crash.atMillis(), true);
-            refuted.add(next.toEvidence(request, incarnation, nowMillis));
-            return next;
-        });
+        }
+        return refuted;
+    }
+
+    /**
+     * Refutes the evidence that an incarnation has crashed, because it has answered a request that was sent to it after
+     * its connections were lost.
+     *
+     * @param incarnation the incarnation
+     * @param sentMillis the monotonic time at which the request was sent, in milliseconds
+     * @param nowMillis monotonic time in milliseconds
+     * @return the evidence that is refuted now; empty if there was none
+     */
+    public synchronized List<CrashEvidence> refuteCrash(String incarnation, long sentMillis, long nowMillis) {
+        List<CrashEvidence> refuted = new ArrayList<>();
+        for (RequestFingerprint request : List.copyOf(suspects.getOrDefault(incarnation, Set.of()))) {
+            if (requests.get(request).get(incarnation).atMillis() < sentMillis) {
+                refuted.add(refute(request, incarnation, nowMillis));
+            }
+        }
         return refuted;
     }
 
@@ -179,7 +208,13 @@
                 requests.entrySet().iterator();
         while (entries.hasNext()) {
             Map.Entry<RequestFingerprint, Map<String, Crash>> entry = entries.next();
-            entry.getValue().values().removeIf(crash -> crash.hasExpired(nowMillis));
+            entry.getValue().entrySet().removeIf(each -> {
+                boolean expired = each.getValue().hasExpired(nowMillis);
+                if (expired) {
+                    unsuspect(each.getKey(), entry.getKey());
+                }
+                return expired;
+            });
             if (entry.getValue().isEmpty()) {
                 entries.remove();
                 removeSummary(entry.getKey());
@@ -190,7 +225,7 @@
     private Map<String, Crash> addRequest(RequestFingerprint request) {
         if (requests.size() >= MAX_REQUESTS) {
             RequestFingerprint first = requests.keySet().iterator().next();
-            requests.remove(first);
+            requests.remove(first).keySet().forEach(incarnation -> unsuspect(incarnation, first));
             removeSummary(first);
         }
         Map<String, Crash> crashes = new LinkedHashMap<>();
@@ -199,6 +234,21 @@
         return crashes;
     }
 
+    private CrashEvidence refute(RequestFingerprint request, String incarnation, long nowMillis) {
+        Map<String, Crash> crashes = requests.get(request);
+        Crash refuted = new Crash(crashes.get(incarnation).atMillis(), true);
+        crashes.put(incarnation, refuted);
+        unsuspect(incarnation, request);
+        return refuted.toEvidence(request, incarnation, nowMillis);
+    }
+
+    private void unsuspect(String incarnation, RequestFingerprint request) {
+        suspects.computeIfPresent(incarnation, (key, suspected) -> {
+            suspected.remove(request);
+            return suspected.isEmpty() ? null : suspected;
+        });
+    }
+
     private void removeSummary(RequestFingerprint request) {
         summaries.computeIfPresent(request.summary(), (summary, count) -> count == 1 ? null : count - 1);
     }
--- a/gateway/src/test/java/org/cicadahead/gateway/CrashQuarantineTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/CrashQuarantineTest.java
@@ -120,6 +120,21 @@
         assertThat(send(first, POISON).refusal.reason()).isEqualTo(RefusalReason.REQUEST_QUARANTINED);
     }
 
+    /** An endpoint that resets connections now and then is alive; requests that it broke off must be served again. */
+    @Test
+    void doesNotTakeResetsOfALivingEndpointForACrash() {
+        crash(first, POISON);
+        crash(first, POISON);
+        assertThat(send(first, POISON).refusal.reason()).isEqualTo(RefusalReason.REQUEST_QUARANTINED);
+        long lostMillis = GatewayNode.nowMillis();
+        while (GatewayNode.nowMillis() <= lostMillis) {
+            Thread.onSpinWait();
+        }
+        send(first, "/safe/other");
+        first.endpoints.last().answer(200, "done");
+        assertThat(send(first, POISON).refusal).isNull();
+    }
+
     /** A report that does not arrive is sent again, and hubs that have lost their memory learn of a quarantine. */
     @Test
     void repeatsReports() {
--- a/gateway/src/test/java/org/cicadahead/quarantine/CrashTableTest.java
+++ b/gateway/src/test/java/org/cicadahead/quarantine/CrashTableTest.java
@@ -66,6 +66,20 @@
         assertThat(isQuarantined(NOW)).isTrue();
     }
 
+    /** An endpoint that resets single connections goes on to answer; requests that it broke off crash nothing. */
+    @Test
+    void anAnswerOfTheSameIncarnationRefutesItsCrash() {
+        List.of("a@1", "b@1", "c@1").forEach(each -> table.add(crash(each), NOW));
+        assertThat(table.refuteCrash("a@1", NOW, NOW + 10)).isEmpty();
+        assertThat(isQuarantined(NOW)).isTrue();
+        assertThat(table.refuteCrash("a@1", NOW + 1, NOW + 10)).hasSize(1);
+        assertThat(table.refuteCrash("a@1", NOW + 1, NOW + 10)).isEmpty();
+        assertThat(isQuarantined(NOW)).isFalse();
+        table.expire(NOW + 10 * CrashTable.RETENTION_MILLIS);
+        assertThat(table.refuteCrash("b@1", NOW + 20 * CrashTable.RETENTION_MILLIS, NOW + 10))
+                .isEmpty();
+    }
+
     /** A quarantine without end would also refuse a request that a later version of the software can run. */
     @Test
     void theQuarantineEndsAndTheNextLastsTwiceAsLong() {
