Report resets of endpoint connections as failures

Cause: a response with neither a length nor chunks ends with its connection, and Jetty reports a reset as the end of the input. Ruled out: an orderly end in the middle of the body (plain sockets show that a reset suffices), and responses with a length or chunks, which fail.

Change: connections for the clients of endpoints throw what the channel throws. Used on the platform path and by the product's own clients of engines and services, which had the same fault.

Evidence: UnframedAnswerTest.aResetBreaksAResponseOff (200 instead of 502) and aResetBreaksAStreamOff, and HttpClientsTest. aResetBreaksAResponseWithoutALengthOff failed before and pass now.

--- a/endpoint/src/main/java/org/cicadahead/endpoint/HttpClients.java
+++ b/endpoint/src/main/java/org/cicadahead/endpoint/HttpClients.java
@@ -1,6 +1,7 @@
 package org.cicadahead.endpoint;
 
 import org.cicadahead.node.NodeException;
+import org.cicadahead.wire.ResetReportingConnector;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
@@ -23,7 +24,7 @@
 
     /** Returns a started client that follows no redirects and adds only the mandatory headers. */
     static HttpClient start(String name) throws NodeException {
-        ClientConnector connector = new ClientConnector();
+        ClientConnector connector = new ResetReportingConnector();
         connector.setSelectors(1);
         HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
