Use no endpoint that has stated that it is leaving

Cause: the header was read nowhere; an entry learnt of a leaving endpoint from the hubs only.

Change: the adapter decodes the header, and an entry that reads it in a response to its own attempt takes the endpoint for draining from then on. Later heartbeats of the incarnation do not undo that; the next incarnation is used.

--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -407,6 +407,9 @@
                     if (reason == null || reason.isAnswered()) {
                         placement.limitStated(
                                 head.requestLimit(), scope.context().nowMillis());
+                        if (head.leaving()) {
+                            placement.leavingStated(scope.context().nowMillis());
+                        }
                     }
                     if (reason != null) {
                         retry(reason);
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointSelector.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointSelector.java
@@ -132,6 +132,17 @@
             }
         }
 
+        /** Records that the endpoint states that it is leaving, which may be known here before any hub reports it. */
+        void leavingStated(long nowMillis) {
+            boolean changed;
+            synchronized (EndpointSelector.this) {
+                changed = registry.applyHeartbeat(record.withPhase(EndpointPhase.DRAINING), nowMillis);
+            }
+            if (changed) {
+                LOG.infof("gateway: Endpoint %s states that it is leaving", record.id());
+            }
+        }
+
         /** Records a complete response; the latency is per event for a stream, else for the whole response. */
         void succeeded(String route, double latencyMillis, long nowMillis) {
             synchronized (EndpointSelector.this) {
--- a/gateway/src/main/java/org/cicadahead/gateway/ResponseHead.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ResponseHead.java
@@ -13,6 +13,7 @@
  * @param notRun whether the endpoint states that it did not run the request
  * @param requestLimit the number of requests per second that the endpoint accepts from all entries together; empty if
  *     it states none
+ * @param leaving whether the endpoint states that it is about to leave
  */
 public record ResponseHead(
         int status,
@@ -20,7 +21,8 @@
         String attempt,
         boolean signature,
         boolean notRun,
-        OptionalDouble requestLimit) {
+        OptionalDouble requestLimit,
+        boolean leaving) {
     private static final int OK = 200;
     private static final int REDIRECT = 300;
 
--- a/gateway/src/test/java/org/cicadahead/gateway/FakeEndpoints.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/FakeEndpoints.java
@@ -17,6 +17,7 @@
         final CountDownLatch ended = new CountDownLatch(1);
         boolean cancelled;
         OptionalDouble requestLimit = OptionalDouble.empty();
+        boolean leaving;
 
         Sent(EndpointRequest request, EndpointListener listener) {
             this.request = request;
@@ -24,8 +25,8 @@
         }
 
         void head(int status, boolean signature, boolean notRun) {
-            listener.head(
-                    new ResponseHead(status, List.of(), request.caller().attempt(), signature, notRun, requestLimit));
+            listener.head(new ResponseHead(
+                    status, List.of(), request.caller().attempt(), signature, notRun, requestLimit, leaving));
         }
 
         void answer(int status, String body) {
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -163,7 +163,10 @@
         send("/safe/x");
         endpoints.last().head(200, false, false);
         assertThat(endpoints.sent).hasSize(2);
-        endpoints.last().listener.head(new ResponseHead(200, List.of(), "other", true, false, OptionalDouble.empty()));
+        endpoints
+                .last()
+                .listener
+                .head(new ResponseHead(200, List.of(), "other", true, false, OptionalDouble.empty(), false));
         assertThat(caller.status).isEqualTo(0);
         assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.ENDPOINT_LOST);
     }
@@ -333,7 +336,7 @@
         endpoints
                 .last()
                 .listener
-                .head(new ResponseHead(503, List.of(), "earlier", false, true, OptionalDouble.empty()));
+                .head(new ResponseHead(503, List.of(), "earlier", false, true, OptionalDouble.empty(), false));
         assertThat(endpoints.sent).hasSize(1);
         assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.ENDPOINT_LOST);
     }
