Guess no version of a stream at an entry that is out of step

Here: a recorded version is asked of the stores. For a stream without a record (its caller does not name the attempt, or the stores did not answer when it began) an entry took the only version that it knew of, which an entry out of step knows wrongly.

Change: before that, the entry asks the hubs to confirm that it knows all endpoints that they have acknowledged. The reply follows the changes on the same connection. If a hub that runs does not answer within 500 ms, the request is refused as not run.

--- a/core/src/main/java/org/cicadahead/fleet/FleetMessages.java
+++ b/core/src/main/java/org/cicadahead/fleet/FleetMessages.java
@@ -19,6 +19,7 @@
                 QuotaShares.class,
                 RequestQuota.class,
                 CloseTurn.class,
+                ConfirmFleet.class,
                 FleetUpdate.class,
                 FoundStores.class,
                 OpenTurn.class,
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
@@ -20,6 +20,7 @@
     private final LongSupplier clock;
     private final int maxActiveRequests;
     private final ResponseMemory responseMemory;
+    private final FleetConfirmation fleetConfirmation;
     private final AtomicInteger activeRequests = new AtomicInteger();
     private volatile SiteIndex site;
     private volatile long stopMillis = Long.MAX_VALUE;
@@ -34,7 +35,8 @@
             ScheduledExecutorService timer,
             LongSupplier clock,
             int maxActiveRequests,
-            ResponseMemory responseMemory) {
+            ResponseMemory responseMemory,
+            FleetConfirmation fleetConfirmation) {
         this.selector = selector;
         this.rateLimiter = rateLimiter;
         this.stores = stores;
@@ -45,6 +47,7 @@
         this.clock = clock;
         this.maxActiveRequests = maxActiveRequests;
         this.responseMemory = responseMemory;
+        this.fleetConfirmation = fleetConfirmation;
     }
 
     EndpointSelector selector() {
@@ -83,6 +86,10 @@
         return responseMemory;
     }
 
+    FleetConfirmation fleetConfirmation() {
+        return fleetConfirmation;
+    }
+
     DecisionLog decisions() {
         return decisions;
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
@@ -97,7 +97,8 @@
                 timer,
                 GatewayNode::nowMillis,
                 (int) (Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_REQUEST),
-                new ResponseMemory(Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR));
+                new ResponseMemory(Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR),
+                timeoutMillis -> watch.confirmCurrent(timeoutMillis));
         metrics.gauge(
                 "gateway.response_bytes", () -> () -> context.responseMemory().usedBytes());
         metrics.gauge("gateway.active", () -> () -> context.activeRequests().get());
--- a/gateway/src/main/java/org/cicadahead/gateway/TurnSession.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/TurnSession.java
@@ -20,6 +20,8 @@
 final class TurnSession implements RequestScope.Stage, TurnCompletion {
     /** The timeout for opening a turn, in milliseconds; longer than a leader change of the stores. */
     private static final long OPEN_TIMEOUT_MILLIS = 2_000;
+    /** The timeout for a confirmation by the hubs that all endpoints are known, in milliseconds; many round trips. */
+    private static final long CONFIRM_TIMEOUT_MILLIS = 500;
     /** The time reserved for the endpoint after the turn is open, in milliseconds. */
     private static final long RESERVED_RUN_MILLIS = 100;
 
@@ -160,7 +162,7 @@
         if (opened.verdict() == TurnOpened.Verdict.OPEN) {
             byte[] history = opened.history() == null ? cachedHistory : opened.history();
             streamVersions(opened, recordedVersion)
-                    .ifPresentOrElse(versions -> sendToEndpoint(history, versions), this::refuseUnknownVersion);
+                    .whenComplete((versions, failure) -> sendToVersions(history, failure == null ? versions : null));
         } else {
             scope.context().rateLimiter().refund(admitted.organisation());
             boolean budgetExhausted = opened.verdict() == TurnOpened.Verdict.BUDGET_SPENT;
@@ -168,24 +170,53 @@
         }
     }
 
-    /** Returns the versions that may serve the request; empty if it resumes a stream of an unknown version. */
-    private Optional<StreamVersions> streamVersions(TurnOpened opened, Optional<String> recordedVersion) {
+    /** Returns the versions that may serve the request; null if it resumes a stream of an unknown version. */
+    private CompletableFuture<StreamVersions> streamVersions(TurnOpened opened, Optional<String> recordedVersion) {
         if (!admitted.isResumable()) {
-            return Optional.of(StreamVersions.any());
+            return CompletableFuture.completedFuture(StreamVersions.any());
         }
         if (!admitted.resumesStream()) {
-            return Optional.of(
+            return CompletableFuture.completedFuture(
                     StreamVersions.ofNewStream(recordedVersion.stream().collect(Collectors.toSet())));
         }
-        if (admitted.keepsTurn()) {
-            // The part of the output that an earlier attempt sent is not stored, and the turn is kept as a whole.
-            return Optional.empty();
-        }
         Set<String> began = opened.resumedVersions();
-        Optional<String> only = began.isEmpty()
-                ? scope.context().selector().onlyVersion(admitted.service().name())
-                : began.stream().filter(version -> began.size() == 1).findFirst();
-        return only.map(StreamVersions::only);
+        // The part of the output that an earlier attempt sent is not stored, and a kept turn is kept as a whole.
+        if (admitted.keepsTurn() || began.size() > 1) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return began.isEmpty()
+                ? onlyKnownVersion()
+                : CompletableFuture.completedFuture(
+                        StreamVersions.only(began.iterator().next()));
+    }
+
+    /**
+     * Returns the version of all endpoints of the service. An entry that is out of step with the hubs does not know all
+     * of them, and the stream may have begun at one of the others.
+     */
+    private CompletableFuture<StreamVersions> onlyKnownVersion() {
+        String service = admitted.service().name();
+        EndpointSelector selector = scope.context().selector();
+        if (selector.onlyVersion(service).isEmpty()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        long leftMillis = admitted.leftMillis(scope.context().nowMillis()) - RESERVED_RUN_MILLIS;
+        return scope.context()
+                .fleetConfirmation()
+                .confirm(Math.max(1, Math.min(CONFIRM_TIMEOUT_MILLIS, leftMillis)))
+                .thenApply(current -> current
+                        ? selector.onlyVersion(service)
+                                .map(StreamVersions::only)
+                                .orElse(null)
+                        : null);
+    }
+
+    private void sendToVersions(byte[] history, StreamVersions versions) {
+        if (versions == null) {
+            refuseUnknownVersion();
+        } else {
+            sendToEndpoint(history, versions);
+        }
     }
 
     private void refuseUnknownVersion() {
--- a/gateway/src/main/java/org/cicadahead/hub/HubService.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubService.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import org.cicadahead.fleet.ConfirmFleet;
 import org.cicadahead.fleet.DaemonPlace;
 import org.cicadahead.fleet.DecommissionState;
 import org.cicadahead.fleet.DecommissionStore;
@@ -72,6 +73,8 @@
             node.handle(request, responder);
         } else if (request instanceof WatchFleet watch) {
             watchers.add(watch.daemon(), responder, clock.getAsLong());
+        } else if (request instanceof ConfirmFleet) {
+            responder.reply(Done.ok());
         } else if (request instanceof ReportCrashes report) {
             watchers.crashesReported(report.crashes(), clock.getAsLong());
             responder.reply(Done.ok());
--- a/gateway/src/main/java/org/cicadahead/watch/FleetWatch.java
+++ b/gateway/src/main/java/org/cicadahead/watch/FleetWatch.java
@@ -1,6 +1,7 @@
 package org.cicadahead.watch;
 
 import java.io.Closeable;
+import java.net.ConnectException;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -9,9 +10,11 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.cicadahead.fleet.ConfirmFleet;
 import org.cicadahead.fleet.DaemonPlace;
 import org.cicadahead.fleet.FleetRole;
 import org.cicadahead.fleet.FleetUpdate;
@@ -135,6 +138,28 @@
         return names;
     }
 
+    /**
+     * Confirms that all changes that hubs acknowledged before this call have been passed to the listener. A hub whose
+     * process is not running is left out, because hubs tell each other of changes; one that does not answer is not.
+     *
+     * @param timeoutMillis how long to wait for the hubs, in milliseconds
+     * @return true if at least one hub and all that run have confirmed it; completes on another thread
+     */
+    public CompletableFuture<Boolean> confirmCurrent(long timeoutMillis) {
+        List<HubLink> asked;
+        synchronized (this) {
+            asked = List.copyOf(links.values());
+        }
+        List<CompletableFuture<Confirmation>> answers =
+                asked.stream().map(link -> link.confirm(timeoutMillis)).toList();
+        return CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]))
+                .thenApply(done -> {
+                    List<Confirmation> all =
+                            answers.stream().map(CompletableFuture::join).toList();
+                    return all.contains(Confirmation.CURRENT) && !all.contains(Confirmation.UNKNOWN);
+                });
+    }
+
     @Override
     public synchronized void close() {
         closed = true;
@@ -168,6 +193,16 @@
         }
     }
 
+    /** What is known of the changes of one hub. */
+    private enum Confirmation {
+        /** All changes before the question have arrived. */
+        CURRENT,
+        /** The hub is not running. */
+        DOWN,
+        /** The hub did not answer, or its changes do not arrive at present. */
+        UNKNOWN
+    }
+
     /** The connection to one hub. Its fields are guarded by the watch. */
     private final class HubLink implements StreamListener {
         private final String address;
@@ -184,6 +219,27 @@
             client.stream(new WatchFleet(self), this);
         }
 
+        /** Asks on the connection of the changes, so that the reply follows them. */
+        CompletableFuture<Confirmation> confirm(long timeoutMillis) {
+            boolean before = isConnected();
+            return client.call(new ConfirmFleet(), timeoutMillis).handle((reply, failure) -> {
+                if (failure != null) {
+                    return isRefused(failure) ? Confirmation.DOWN : Confirmation.UNKNOWN;
+                }
+                return before && isConnected() ? Confirmation.CURRENT : Confirmation.UNKNOWN;
+            });
+        }
+
+        private boolean isConnected() {
+            synchronized (FleetWatch.this) {
+                return connected;
+            }
+        }
+
+        private boolean isRefused(Throwable failure) {
+            return failure.getCause() instanceof ConnectException;
+        }
+
         @Override
         public void part(Message part) {
             if (!(part instanceof FleetUpdate update)) {
--- a/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
@@ -47,7 +47,8 @@
                 timer,
                 GatewayNode::nowMillis,
                 MAX_ACTIVE,
-                new ResponseMemory(MAX_RESPONSE_BYTES));
+                new ResponseMemory(MAX_RESPONSE_BYTES),
+                timeoutMillis -> CompletableFuture.completedFuture(true));
         SiteOrganisation organisation = new SiteOrganisation("o", List.of(KeyDigests.of("k")), 0, 0, null);
         context.site(SiteIndex.of(new SiteConfiguration(
                 1,
--- a/gateway/src/test/java/org/cicadahead/hub/HubNodeTest.java
+++ b/gateway/src/test/java/org/cicadahead/hub/HubNodeTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -129,6 +131,47 @@
                 .toList();
     }
 
+    /** A confirmation that overtook a change would let an entry decide without it. */
+    @Test
+    void confirmsTheFleetAfterTheChangesBefore() throws Exception {
+        submit(1);
+        List<FleetUpdate> updates = watch("e1");
+        await(() -> versions(updates).contains(1L));
+        FleetWatch watch = watches.get(watches.size() - 1);
+        for (int i = 0; i < 200; i++) {
+            String id = "endpoint" + i;
+            hub.heartbeat(
+                    new EndpointRecord(id, 1, 1, "s", "10.0.0.1:" + (i + 1), "z", 1, EndpointPhase.READY, 0, "v"),
+                    ReplicatedNode.monotonicMillis());
+            assertThat(watch.confirmCurrent(5_000).get(LIMIT_SECONDS, TimeUnit.SECONDS))
+                    .isTrue();
+            assertThat(updates.stream()
+                            .flatMap(update -> update.endpoints().stream())
+                            .map(EndpointRecord::id))
+                    .contains(id);
+        }
+    }
+
+    /** A hub that does not answer may know more than the others; one that is not running has told them. */
+    @Test
+    void doesNotConfirmTheFleetWhileAHubIsSilent() throws Exception {
+        submit(1);
+        List<FleetUpdate> updates = watch("e1");
+        await(() -> versions(updates).contains(1L));
+        FleetWatch watch = watches.get(watches.size() - 1);
+        String down = "127.0.0.1:" + TestPorts.free();
+        watch.updateSeeds(List.of(address, down));
+        await(() -> watch.hubs().contains(down));
+        assertThat(watch.confirmCurrent(5_000).get(LIMIT_SECONDS, TimeUnit.SECONDS))
+                .isTrue();
+        try (ServerSocket silent = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+            String silentAddress = "127.0.0.1:" + silent.getLocalPort();
+            watch.updateSeeds(List.of(address, silentAddress));
+            await(() -> watch.hubs().contains(silentAddress));
+            await(() -> !watch.confirmCurrent(50).join());
+        }
+    }
+
     /** Every entry must learn which requests crash endpoints, also one that starts after the report. */
     @Test
     void passesReportsOfCrashesToAllEntries() throws Exception {
