Check in the soak that no leaving endpoint is used

One of four endpoints states in its responses, and nowhere else, that it is leaving, and starts again as its next incarnation later. Requests that a caller sends 2 s after an entry has passed such a response on must not reach the incarnation from that process of the entry, unless it was frozen meanwhile.

--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCaller.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCaller.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import org.cicadahead.platform.WireNames;
 
@@ -27,9 +28,23 @@
     private final SoakJudge judge;
     private final Random random;
     private final BooleanSupplier running;
+    private final BiConsumer<SoakRequest, String> departures;
     private int programs;
 
-    SoakCaller(int number, SoakFleet fleet, SoakHttp http, SoakJudge judge, Random random, BooleanSupplier running) {
+    /**
+     * Creates a caller.
+     *
+     * @param departures receives the name of an endpoint whose answer states that it is leaving
+     */
+    SoakCaller(
+            int number,
+            SoakFleet fleet,
+            SoakHttp http,
+            SoakJudge judge,
+            Random random,
+            BooleanSupplier running,
+            BiConsumer<SoakRequest, String> departures) {
+        this.departures = departures;
         this.number = number;
         this.fleet = fleet;
         this.http = http;
@@ -89,7 +104,7 @@
                 headers.put("Last-Event-Id", Long.toString(stream.lastEvent()));
                 headers.put(WireNames.RESUMES, stream.attempt());
             }
-            SoakHttp.Answer answer = http.call("POST", fleet.callers(fleet.anyEntry(random)), "/resume/x", headers, id);
+            SoakHttp.Answer answer = call(fleet.anyEntry(random), id, "/resume/x", headers, id);
             stream.add(id, answer.body(), answer.status() == OK || answer.status() == 0);
             String fault = stream.fault();
             if (!fault.isEmpty()) {
@@ -116,14 +131,25 @@
         if (!previous.isEmpty()) {
             headers.put(WireNames.PREVIOUS, previous);
         }
-        return http.call("POST", fleet.callers(fleet.anyEntry(random)), "/turns/x", headers, input);
+        return call(fleet.anyEntry(random), attempt, "/turns/x", headers, input);
+    }
+
+    private SoakHttp.Answer call(
+            SoakFleet.Member entry, String attempt, String path, Map<String, String> headers, String body) {
+        SoakRequest request = SoakRequest.of(attempt, entry, SoakJudge.now());
+        judge.sent(request);
+        SoakHttp.Answer answer = http.call("POST", fleet.callers(entry), path, headers, body);
+        if (!answer.leaving().isEmpty() && request.isSameProcess()) {
+            departures.accept(request, answer.leaving());
+        }
+        return answer;
     }
 
     private void callOnce(String program, String attempt) {
         judge.askedOnce(attempt);
         SoakFleet.Member entry = fleet.anyEntry(random);
         long sentMillis = SoakJudge.now();
-        SoakHttp.Answer answer = http.call("POST", fleet.callers(entry), "/once/x", headers(program, attempt), "once");
+        SoakHttp.Answer answer = call(entry, attempt, "/once/x", headers(program, attempt), "once");
         if (answer.status() == OK) {
             judge.served();
         } else if (answer.status() == 0 && entry.calmSince(sentMillis - ANSWER_MILLIS)) {
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCommand.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCommand.java
@@ -21,6 +21,8 @@
         description = "Runs hubs, stores and entries under random faults and checks their promises.")
 public final class SoakCommand implements Callable<Integer> {
     private static final double LIMIT_PER_SECOND = 4;
+    /** One of this number of endpoints leaves by turns. */
+    private static final int LEAVING_ENDPOINTS = 4;
     /** A run whose seed is a multiple of this disturbs entries by planned stops alone. */
     private static final int CALM_SEEDS = 3;
     /** The time without disturbance of an entry after which the check of request limits applies, in milliseconds. */
@@ -87,7 +89,10 @@
         return violations.isEmpty() ? 0 : 1;
     }
 
-    /** Starts an endpoint; endpoints differ in their version by turns, and every other pair of them states limits. */
+    /**
+     * Starts an endpoint; endpoints differ in their version by turns, every other pair of them states limits, and the
+     * last of four leaves by turns.
+     */
     private SoakEndpoint endpoint(int number, SoakFleet fleet) throws FleetException {
         String id = "endpoint-" + number;
         SoakLimit limit = new SoakLimit(
@@ -95,7 +100,8 @@
                 number / 2 % 2 == 0 ? LIMIT_PER_SECOND : 0,
                 judge,
                 () -> fleet.role("entry").stream().allMatch(entry -> entry.calmSince(SoakJudge.now() - CALM_MILLIS)));
-        return SoakEndpoint.start(id, "v" + number % 2, limit, judge);
+        SoakDeparture departure = new SoakDeparture(id, number % LEAVING_ENDPOINTS == LEAVING_ENDPOINTS - 1, judge);
+        return SoakEndpoint.start(id, "v" + number % 2, limit, departure, judge);
     }
 
     private void play(SoakFleet fleet, List<SoakEndpoint> endpoints) throws FleetException, InterruptedException {
@@ -104,7 +110,15 @@
         begin(operator, endpoints);
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < callers; i++) {
-            threads.add(thread(new SoakCaller(i, fleet, http, judge, new Random(seed + i), calling::get)));
+            threads.add(thread(new SoakCaller(
+                    i,
+                    fleet,
+                    http,
+                    judge,
+                    new Random(seed + i),
+                    calling::get,
+                    (request, name) ->
+                            endpoints.forEach(each -> each.departure().stated(request, name, SoakJudge.now())))));
         }
         await("the first program", START_LIMIT_MILLIS, operator, endpoints, () -> judge.servedSoFar() > callers);
         List<Thread> faults = new ArrayList<>();
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakEndpoint.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakEndpoint.java
@@ -33,26 +33,30 @@
     private final String version;
     private final Server server;
     private final FaultyLink link;
+    private final SoakDeparture departure;
 
-    private SoakEndpoint(String id, String version, Server server, FaultyLink link) {
+    private SoakEndpoint(String id, String version, SoakDeparture departure, Server server, FaultyLink link) {
         this.id = id;
+        this.departure = departure;
         this.version = version;
         this.server = server;
         this.link = link;
     }
 
-    static SoakEndpoint start(String id, String version, SoakLimit limit, SoakJudge judge) throws FleetException {
+    static SoakEndpoint start(String id, String version, SoakLimit limit, SoakDeparture departure, SoakJudge judge)
+            throws FleetException {
         Server server = new Server();
         ServerConnector connector = new ServerConnector(server, 1, 1);
         connector.setHost("127.0.0.1");
         server.addConnector(connector);
-        server.setHandler(new Answers(id, version, limit, judge));
+        server.setHandler(new Answers(id, version, limit, departure, judge));
         try {
             server.start();
         } catch (Exception e) {
             throw new FleetException("the endpoint " + id + " cannot start", e);
         }
-        return new SoakEndpoint(id, version, server, FaultyLink.start(Ports.free(), connector.getLocalPort()));
+        return new SoakEndpoint(
+                id, version, departure, server, FaultyLink.start(Ports.free(), connector.getLocalPort()));
     }
 
     /** Returns the checksum with which the endpoint answers a text. */
@@ -75,9 +79,14 @@
         return id;
     }
 
+    SoakDeparture departure() {
+        return departure;
+    }
+
     String heartbeat(long sequence) {
         return "{\"service\":\"soak\",\"address\":\"127.0.0.1:" + link.port() + "\",\"zone\":\"z\",\"version\":\""
-                + version + "\"," + "\"slots\":16,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":" + sequence + "}";
+                + version + "\"," + "\"slots\":16,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":" + sequence
+                + ",\"born\":" + departure.bornMillis(SoakJudge.now()) + "}";
     }
 
     @Override
@@ -94,9 +103,11 @@
         private final String id;
         private final String version;
         private final SoakLimit limit;
+        private final SoakDeparture departure;
         private final SoakJudge judge;
 
-        Answers(String id, String version, SoakLimit limit, SoakJudge judge) {
+        Answers(String id, String version, SoakLimit limit, SoakDeparture departure, SoakJudge judge) {
+            this.departure = departure;
             this.id = id;
             this.version = version;
             this.limit = limit;
@@ -108,6 +119,7 @@
             String attempt = request.getHeaders().get(WireNames.ATTEMPT);
             response.getHeaders().put(WireNames.ATTEMPT, attempt);
             limit.requestArrived().ifPresent(text -> response.getHeaders().put(WireNames.REQUEST_LIMIT, text));
+            stateDeparture(response, SoakJudge.now());
             if (!id.equals(request.getHeaders().get(WireNames.INSTANCE))) {
                 response.setStatus(MISDIRECTED);
                 response.getHeaders().put(WireNames.NOT_RUN, "1");
@@ -117,6 +129,7 @@
             ByteArrayOutputStream body = new ByteArrayOutputStream();
             Content.Source.asInputStream(request).transferTo(body);
             judge.ran(attempt);
+            judge.request(attempt).ifPresent(each -> departure.requestArrived(each, SoakJudge.now()));
             if (request.getHeaders().get(WireNames.KEY) != null) {
                 judge.violation("an endpoint saw a key: " + attempt);
             }
@@ -133,6 +146,13 @@
             return true;
         }
 
+        private void stateDeparture(Response response, long nowMillis) {
+            if (departure.isLeaving(nowMillis)) {
+                response.getHeaders().put(WireNames.LEAVING, WireNames.YES);
+                response.getHeaders().put(SoakDeparture.NAME_HEADER, departure.name(nowMillis));
+            }
+        }
+
         /** Sends the events after the last one that the caller has, and breaks off before the end now and then. */
         private void stream(Request request, Response response, Callback callback) {
             String last = request.getHeaders().get("Last-Event-Id");
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
@@ -36,6 +36,7 @@
         private final Path settings;
         private volatile long disturbedMillis;
         private volatile long bootedLogBytes;
+        private volatile int starts;
 
         Member(String role, int number) {
             this.role = role;
@@ -79,9 +80,15 @@
         void start(boolean first) throws FleetException {
             writeSettings(first);
             bootedLogBytes = logBytes() + 1;
+            starts++;
             process.start();
         }
 
+        /** Returns how often the process has been started. */
+        int starts() {
+            return starts;
+        }
+
         /** Returns whether the process has not yet logged its first line, so that no code of the role may run yet. */
         boolean isBooting() {
             return logBytes() < bootedLogBytes;
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakHttp.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakHttp.java
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpHeader;
 
 /** Plain calls of a soak. Safe for use by several threads. */
@@ -19,8 +20,12 @@
 
     private final HttpClient client = new HttpClient();
 
-    /** An answer; status 0 stands for none, or for one that broke off after the body given. */
-    record Answer(int status, String body, boolean sealed) {}
+    /**
+     * An answer; status 0 stands for none, or for one that broke off after the body given.
+     *
+     * @param leaving the name of the endpoint that states that it is leaving; empty if the answer does not state it
+     */
+    record Answer(int status, String body, boolean sealed, String leaving) {}
 
     static SoakHttp start() throws FleetException {
         SoakHttp http = new SoakHttp();
@@ -52,7 +57,15 @@
                         result.isSucceeded() ? result.getResponse().getStatus() : 0,
                         received.toString(),
                         result.isSucceeded()
-                                && result.getResponse().getHeaders().contains(WireNames.SIGNATURE))));
+                                && result.getResponse().getHeaders().contains(WireNames.SIGNATURE),
+                        leaving(result.getResponse()))));
         return answer.join();
     }
+
+    private static String leaving(Response response) {
+        boolean stated =
+                response != null && WireNames.YES.equals(response.getHeaders().get(WireNames.LEAVING));
+        String name = stated ? response.getHeaders().get(SoakDeparture.NAME_HEADER) : null;
+        return name == null ? "" : name;
+    }
 }
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakJudge.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakJudge.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -13,6 +14,7 @@
 
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private final Set<String> saidNotRun = ConcurrentHashMap.newKeySet();
+    private final Map<String, SoakRequest> requests = new ConcurrentHashMap<>();
     private final Set<String> cut = ConcurrentHashMap.newKeySet();
     private final AtomicInteger resumed = new AtomicInteger();
     private final Set<String> once = ConcurrentHashMap.newKeySet();
@@ -25,6 +27,16 @@
         runs.computeIfAbsent(attempt, id -> new AtomicInteger()).incrementAndGet();
     }
 
+    /** A caller sent a request. */
+    void sent(SoakRequest request) {
+        requests.put(request.attempt(), request);
+    }
+
+    /** Returns the request with an attempt id; empty if no caller has sent it. */
+    Optional<SoakRequest> request(String attempt) {
+        return Optional.ofNullable(requests.get(attempt));
+    }
+
     /** A caller sent a request that may run once at most. */
     void askedOnce(String attempt) {
         once.add(attempt);
