Bound what is kept and reported of crashes

Cause, found by reading: many requests lost in crashes of others could displace one in quarantine from the table, and the repeated reports of a quarantine piled up while no hub answered. A full table would have taken several megabytes in the first update of each watcher.

Change: the table holds 1,024 requests and forgets those first that have too few crashes for a quarantine; reports stop to grow at a limit, and evidence is repeated only when nothing else waits.

Evidence: CrashTableTest.forgetsNoRequestInQuarantineWhileThereAreOthers fails with the order of before (the oldest request was forgotten).

--- a/gateway/src/main/java/org/cicadahead/gateway/CrashTracker.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/CrashTracker.java
@@ -25,7 +25,7 @@
     private static final long REPEAT_MILLIS = 2_000;
     /** The maximum number of observations in a report. */
     private static final int MAX_REPORTED = 500;
-    /** The maximum number of observations that wait while no hub answers; those of the last report are then dropped. */
+    /** The maximum number of observations that wait while no hub answers; further ones are not reported. */
     private static final int MAX_UNREPORTED = 4_096;
 
     private static final Logger LOG = Logger.getLogger("cicadahead.gateway");
@@ -76,7 +76,9 @@
             if (nowMillis >= repeatedMillis + REPEAT_MILLIS) {
                 repeatedMillis = nowMillis;
                 table.expire(nowMillis);
-                unreported.addAll(table.quarantineEvidence(nowMillis));
+                if (unreported.isEmpty()) {
+                    unreported.addAll(table.quarantineEvidence(nowMillis));
+                }
             }
             if (unreported.isEmpty()) {
                 return;
@@ -90,14 +92,17 @@
 
     private synchronized void reported(List<CrashEvidence> batch, boolean received) {
         reporting = false;
-        if (!received && unreported.size() < MAX_UNREPORTED) {
+        if (!received) {
             unreported.addAll(0, batch);
         }
     }
 
     private void report(List<CrashEvidence> evidence) {
-        if (!evidence.isEmpty()) {
-            synchronized (this) {
+        if (evidence.isEmpty()) {
+            return;
+        }
+        synchronized (this) {
+            if (unreported.size() < MAX_UNREPORTED) {
                 unreported.addAll(evidence);
             }
         }
--- a/gateway/src/main/java/org/cicadahead/quarantine/CrashTable.java
+++ b/gateway/src/main/java/org/cicadahead/quarantine/CrashTable.java
@@ -41,8 +41,11 @@
     static final long IN_FLIGHT_MILLIS = 100;
     /** The minimum time from the crash of an endpoint to its first response as a new incarnation, in milliseconds. */
     static final long MIN_DOWN_MILLIS = 1_000;
-    /** The maximum number of requests. Beyond it, the one whose first crash was reported first is forgotten. */
-    static final int MAX_REQUESTS = 4_096;
+    /**
+     * The maximum number of requests. Beyond it, the one whose first crash was reported first is forgotten, but not one
+     * with enough crashes for a quarantine while there are others.
+     */
+    static final int MAX_REQUESTS = 1_024;
     /** The maximum number of incarnations per request; more do not prolong the quarantine. */
     static final int MAX_CRASHES = 12;
 
@@ -159,17 +162,15 @@
      * @return the time in milliseconds; empty if the request is not in quarantine
      */
     public synchronized OptionalLong quarantineMillis(RequestFingerprint request, long nowMillis) {
-        int crashes = 0;
-        long lastMillis = Long.MIN_VALUE;
-        for (Crash crash : requests.getOrDefault(request, Map.of()).values()) {
-            if (!crash.refuted()) {
-                crashes++;
-                lastMillis = Math.max(lastMillis, crash.atMillis());
-            }
-        }
+        Map<String, Crash> known = requests.getOrDefault(request, Map.of());
+        int crashes = countCrashes(known);
         if (crashes < QUARANTINE_CRASHES) {
             return OptionalLong.empty();
         }
+        long lastMillis = Long.MIN_VALUE;
+        for (Crash crash : known.values()) {
+            lastMillis = crash.refuted() ? lastMillis : Math.max(lastMillis, crash.atMillis());
+        }
         long durationMillis =
                 Math.min(MAX_QUARANTINE_MILLIS, FIRST_QUARANTINE_MILLIS << (crashes - QUARANTINE_CRASHES));
         long leftMillis = lastMillis + durationMillis - nowMillis;
@@ -230,9 +231,9 @@
 
     private Map<String, Crash> addRequest(RequestFingerprint request) {
         if (requests.size() >= MAX_REQUESTS) {
-            RequestFingerprint first = requests.keySet().iterator().next();
-            requests.remove(first).keySet().forEach(incarnation -> unsuspect(incarnation, first));
-            removeSummary(first);
+            RequestFingerprint forgotten = leastSuspect();
+            requests.remove(forgotten).keySet().forEach(incarnation -> unsuspect(incarnation, forgotten));
+            removeSummary(forgotten);
         }
         Map<String, Crash> crashes = new LinkedHashMap<>();
         requests.put(request, crashes);
@@ -240,6 +241,23 @@
         return crashes;
     }
 
+    /** Returns the oldest request with too few crashes for a quarantine, or else the oldest one. */
+    private RequestFingerprint leastSuspect() {
+        return requests.entrySet().stream()
+                .filter(each -> countCrashes(each.getValue()) < QUARANTINE_CRASHES)
+                .findFirst()
+                .map(Map.Entry::getKey)
+                .orElseGet(() -> requests.keySet().iterator().next());
+    }
+
+    private static int countCrashes(Map<String, Crash> crashes) {
+        int count = 0;
+        for (Crash crash : crashes.values()) {
+            count += crash.refuted() ? 0 : 1;
+        }
+        return count;
+    }
+
     private CrashEvidence refute(RequestFingerprint request, String incarnation, long nowMillis) {
         Map<String, Crash> crashes = requests.get(request);
         Crash refuted = new Crash(crashes.get(incarnation).atMillis(), true);
--- a/gateway/src/test/java/org/cicadahead/quarantine/CrashTableTest.java
+++ b/gateway/src/test/java/org/cicadahead/quarantine/CrashTableTest.java
@@ -135,6 +135,17 @@
         assertThat(table.quarantineEvidence(NOW + 5).get(0).ageMillis()).isEqualTo(10_005);
     }
 
+    /** Many requests that were lost in crashes of others must not displace one that is in quarantine. */
+    @Test
+    void forgetsNoRequestInQuarantineWhileThereAreOthers() {
+        List.of("a@1", "b@1", "c@1").forEach(each -> table.add(crash(each), NOW));
+        for (int i = 0; i < 2 * CrashTable.MAX_REQUESTS; i++) {
+            table.add(new CrashEvidence(fingerprint("/" + i), "a@1", false, 0), NOW);
+        }
+        assertThat(isQuarantined(NOW)).isTrue();
+        assertThat(table.refuteCrash("a@1", NOW + CrashTable.IN_FLIGHT_MILLIS)).hasSize(CrashTable.MAX_REQUESTS);
+    }
+
     /** Evidence must not accumulate without limit. */
     @Test
     void forgetsExpiredEvidenceAndTheOldestRequests() {
