Keep a departure for all incarnations that started before it

Cause: a response does not name its incarnation. The statement was recorded for the incarnation that the entry knew; the heartbeat of the one that had made it arrived later, held up by faults of the hubs, and counted as a new, ready incarnation.

Change: the statement is kept with its time and holds for every incarnation of the id that started before it.

Evidence: LeavingEndpointsTest. aLateReportOfTheIncarnationThatLeavesDoesNotReturnIt failed without the change.

--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -408,7 +408,7 @@
                         placement.limitStated(
                                 head.requestLimit(), scope.context().nowMillis());
                         if (head.leaving()) {
-                            placement.leavingStated(scope.context().nowMillis());
+                            placement.leavingStated(System.currentTimeMillis());
                         }
                     }
                     if (reason != null) {
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointSelector.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointSelector.java
@@ -133,10 +133,10 @@
         }
 
         /** Records that the endpoint states that it is leaving, which may be known here before any hub reports it. */
-        void leavingStated(long nowMillis) {
+        void leavingStated(long wallMillis) {
             boolean changed;
             synchronized (EndpointSelector.this) {
-                changed = registry.applyHeartbeat(record.withPhase(EndpointPhase.DRAINING), nowMillis);
+                changed = registry.recordDepartureStatement(record.id(), wallMillis);
             }
             if (changed) {
                 LOG.infof("gateway: Endpoint %s states that it is leaving", record.id());
--- a/gateway/src/main/java/org/cicadahead/placement/EndpointRegistry.java
+++ b/gateway/src/main/java/org/cicadahead/placement/EndpointRegistry.java
@@ -60,7 +60,11 @@
             if (known == null && isSuperseded(heartbeat)) {
                 return false;
             }
-            endpoints.put(heartbeat.id(), new KnownEndpoint(heartbeat, nowMillis));
+            KnownEndpoint next = new KnownEndpoint(heartbeat, nowMillis);
+            if (known != null && known.hasStatedDeparture(heartbeat.bornMillis())) {
+                next.recordDepartureStatement(known.departureStatedWallMillis());
+            }
+            endpoints.put(heartbeat.id(), next);
             supersedeEarlier(heartbeat);
             return true;
         }
@@ -83,6 +87,23 @@
         return phase != before.phase() || endsSilence || newer && changed(before, heartbeat);
     }
 
+    /**
+     * Records that an endpoint has stated in a response that it is leaving. The statement holds for the incarnation
+     * that made it, which may be a later one than the registry knows: for all that started before it was made.
+     *
+     * @param id the id of the endpoint
+     * @param wallMillis the wall-clock time at which the response was received, in milliseconds since the epoch
+     * @return true if it was not known before
+     */
+    public boolean recordDepartureStatement(String id, long wallMillis) {
+        KnownEndpoint known = endpoints.get(id);
+        boolean changed = known != null && known.record().phase().takesRequests();
+        if (known != null) {
+            known.recordDepartureStatement(wallMillis);
+        }
+        return changed;
+    }
+
     /**
      * Records a heartbeat that changes nothing but the time of the last heartbeat.
      *
--- a/gateway/src/main/java/org/cicadahead/placement/KnownEndpoint.java
+++ b/gateway/src/main/java/org/cicadahead/placement/KnownEndpoint.java
@@ -1,6 +1,7 @@
 package org.cicadahead.placement;
 
 import java.util.OptionalDouble;
+import org.cicadahead.fleet.EndpointPhase;
 import org.cicadahead.fleet.EndpointRecord;
 
 /**
@@ -40,6 +41,7 @@
     private long sampledMillis;
     private EndpointLimit limit;
     private long limitStatedMillis;
+    private long departureStatedWallMillis = Long.MIN_VALUE;
 
     KnownEndpoint(EndpointRecord record, long nowMillis) {
         this.record = record;
@@ -70,6 +72,21 @@
         record = next;
     }
 
+    /** Records that the endpoint has stated that it is leaving, at a time in milliseconds since the epoch. */
+    void recordDepartureStatement(long wallMillis) {
+        departureStatedWallMillis = wallMillis;
+        record = record.withPhase(record.phase().later(EndpointPhase.DRAINING));
+    }
+
+    long departureStatedWallMillis() {
+        return departureStatedWallMillis;
+    }
+
+    /** Returns whether the statement that the endpoint is leaving was made after an incarnation had started. */
+    boolean hasStatedDeparture(long bornMillis) {
+        return bornMillis <= departureStatedWallMillis;
+    }
+
     void refresh(long nowMillis) {
         lastHeartbeatMillis = Math.max(lastHeartbeatMillis, nowMillis);
     }
