Merge refutations of crashes that were long ago

Found on reading the whole change once more: a table that held evidence older than a minute ignored its refutation, as refuted evidence expires after that time. The entry that saw the answer cleared the request; hubs and other entries went on to suspect or refuse it.

Change: only evidence that is not held yet is tested for its age.

Evidence: CrashTableTest.aLateRefutationIsMerged failed before and passes now, with the other tests of the table and of the quarantine.

--- a/gateway/src/main/java/org/cicadahead/quarantine/CrashTable.java
+++ b/gateway/src/main/java/org/cicadahead/quarantine/CrashTable.java
@@ -91,7 +91,7 @@
         }
         long atMillis = known == null ? nowMillis - evidence.ageMillis() : known.atMillis();
         Crash crash = new Crash(atMillis, evidence.refuted());
-        if (crash.hasExpired(nowMillis)) {
+        if (known == null && crash.hasExpired(nowMillis)) {
             return false;
         }
         if (crashes == null) {
--- a/gateway/src/test/java/org/cicadahead/quarantine/CrashTableTest.java
+++ b/gateway/src/test/java/org/cicadahead/quarantine/CrashTableTest.java
@@ -56,6 +56,17 @@
         assertThat(isQuarantined(NOW)).isTrue();
     }
 
+    /** A refutation must reach other tables also if the crash was long ago, or only they would refuse the request. */
+    @Test
+    void aLateRefutationIsMerged() {
+        List.of("a@1", "b@1", "c@1").forEach(each -> table.add(crash(each), NOW));
+        long ageMillis = CrashTable.REFUTED_RETENTION_MILLIS + 1;
+        assertThat(isQuarantined(NOW + ageMillis)).isTrue();
+        assertThat(table.add(new CrashEvidence(POISON, "a@1", true, ageMillis), NOW + ageMillis))
+                .isTrue();
+        assertThat(isQuarantined(NOW + ageMillis)).isFalse();
+    }
+
     /** The answer to a request that has the summary of a suspect, but another organisation, concerns no suspect. */
     @Test
     void anAnswerToAnotherRequestWithTheSameSummaryRefutesNothing() {
