Log the time handed to endpoints and the evidence of crashes

A line of the decision log told when an attempt was given to the HTTP client, but not when it was written to a connection and with which time limit, and of a lost connection not whether and under which fingerprint it became evidence that the request crashes endpoints. Refuted evidence left no trace at all.

An attempt now carries written_ms, handed_ms and suspect, and an entry logs each refutation with its reason and the age of the evidence. Decisions are unchanged. RequestTraceTest.namesTheTimeHandedOnAndTheFingerprintOfASuspect.

--- a/gateway/src/main/java/org/cicadahead/gateway/CrashTracker.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/CrashTracker.java
@@ -40,20 +40,34 @@
         return mayHold(request) ? table.quarantineMillis(fingerprint(request), nowMillis) : OptionalLong.empty();
     }
 
-    /** Records that the connection to an endpoint was lost while it ran a request. */
-    void lost(AdmittedRequest request, EndpointRecord endpoint, long nowMillis) {
-        CrashEvidence evidence = new CrashEvidence(fingerprint(request), incarnation(endpoint), false, 0);
+    /**
+     * Records that the connection to an endpoint was lost while it ran a request; returns the fingerprint under which
+     * its repetitions are recognised.
+     */
+    RequestFingerprint lost(AdmittedRequest request, EndpointRecord endpoint, long nowMillis) {
+        RequestFingerprint fingerprint = fingerprint(request);
+        CrashEvidence evidence = new CrashEvidence(fingerprint, incarnation(endpoint), false, 0);
         if (add(evidence, nowMillis)) {
             report(List.of(evidence));
         }
+        return fingerprint;
     }
 
     /** Records a response that proves that an endpoint is alive and ran a request, which thus crashes no endpoints. */
     void answered(AdmittedRequest request, EndpointRecord endpoint, long nowMillis) {
         if (mayHold(request)) {
-            report(table.refute(fingerprint(request), nowMillis));
+            report(refuted(table.refute(fingerprint(request), nowMillis), "answered", endpoint));
+        }
+        report(refuted(table.refuteCrash(incarnation(endpoint), nowMillis), "not down", endpoint));
+    }
+
+    private static List<CrashEvidence> refuted(List<CrashEvidence> evidence, String reason, EndpointRecord endpoint) {
+        for (CrashEvidence each : evidence) {
+            LOG.infof(
+                    "gateway: Requests %s did not crash %s %d ms ago (%s by %s)",
+                    each.request(), each.incarnation(), each.ageMillis(), reason, incarnation(endpoint));
         }
-        report(table.refuteCrash(incarnation(endpoint), nowMillis));
+        return evidence;
     }
 
     /** Merges the observations of other entries. */
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -332,7 +332,7 @@
         long now = scope.context().nowMillis();
         placement.failed(reason, now);
         if (reason == RetryReason.LOST) {
-            scope.context().crashes().lost(admitted, placement.record(), now);
+            scope.trace().suspected(scope.context().crashes().lost(admitted, placement.record(), now));
         } else if (reason == RetryReason.FAILED) {
             answered(relay.head(), now);
         }
@@ -398,6 +398,15 @@
             this.attempt = attempt;
         }
 
+        @Override
+        public void written(long timeLeftMillis) {
+            synchronized (scope) {
+                if (isCurrent()) {
+                    scope.trace().written(scope.context().nowMillis(), timeLeftMillis);
+                }
+            }
+        }
+
         @Override
         public void head(ResponseHead head) {
             synchronized (scope) {
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointListener.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointListener.java
@@ -3,6 +3,15 @@
 /** Receives the response of an endpoint, in order and one call at a time. Implementations must not block. */
 public interface EndpointListener {
 
+    /**
+     * Called when a connection is available and the request is about to be written to it.
+     *
+     * @param timeLeftMillis the time limit that is stated to the endpoint, in milliseconds
+     */
+    default void written(long timeLeftMillis) {
+        // Only listeners that record the attempt need it.
+    }
+
     /**
      * Receives the status and headers.
      *
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
@@ -9,6 +9,7 @@
 import java.util.OptionalDouble;
 import org.cicadahead.fleet.EndpointRecord;
 import org.cicadahead.fleet.PriorityClass;
+import org.cicadahead.model.RequestFingerprint;
 
 /** Collects the decisions made on one request and formats them as its line in the decision log. Not thread-safe. */
 final class RequestTrace {
@@ -21,9 +22,22 @@
     private PriorityClass priority;
     private long rateAdmittedAfterMillis = -1;
     private long openedAfterMillis = -1;
+    private Writing writing = Writing.NONE;
+    private RequestFingerprint suspect;
 
     private record Attempt(
-            EndpointRecord endpoint, String outcome, OptionalDouble requestLimit, long beganMillis, long endedMillis) {}
+            EndpointRecord endpoint,
+            String outcome,
+            OptionalDouble requestLimit,
+            long beganMillis,
+            long endedMillis,
+            Writing writing,
+            RequestFingerprint suspect) {}
+
+    /** The time at which an attempt was written to its connection, and the time limit stated to the endpoint. */
+    private record Writing(long millis, long timeLeftMillis) {
+        static final Writing NONE = new Writing(-1, -1);
+    }
 
     RequestTrace(CallerRequest caller) {
         this.caller = caller;
@@ -46,9 +60,22 @@
         openedAfterMillis = nowMillis - caller.receivedMillis();
     }
 
+    /** Records that the current attempt is written to a connection. */
+    void written(long nowMillis, long timeLeftMillis) {
+        writing = new Writing(nowMillis, timeLeftMillis);
+    }
+
+    /** Records that the current attempt is evidence that requests with a fingerprint crash endpoints. */
+    void suspected(RequestFingerprint fingerprint) {
+        suspect = fingerprint;
+    }
+
+    /** Records the end of the current attempt. */
     void attempt(
             EndpointRecord endpoint, String outcome, OptionalDouble requestLimit, long beganMillis, long endedMillis) {
-        attempts.add(new Attempt(endpoint, outcome, requestLimit, beganMillis, endedMillis));
+        attempts.add(new Attempt(endpoint, outcome, requestLimit, beganMillis, endedMillis, writing, suspect));
+        writing = Writing.NONE;
+        suspect = null;
     }
 
     /** Returns the log line as JSON; {@code wallMillis} is the wall-clock time at which the request ended. */
@@ -98,6 +125,13 @@
                 }
                 json.writeNumberField("at_ms", each.beganMillis - caller.receivedMillis());
                 json.writeNumberField("ms", each.endedMillis - each.beganMillis);
+                if (each.writing != Writing.NONE) {
+                    json.writeNumberField("written_ms", each.writing.millis - caller.receivedMillis());
+                    json.writeNumberField("handed_ms", each.writing.timeLeftMillis);
+                }
+                if (each.suspect != null) {
+                    json.writeStringField("suspect", each.suspect.value());
+                }
                 json.writeEndObject();
             }
             json.writeEndArray();
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestTraceTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestTraceTest.java
@@ -6,6 +6,7 @@
 import java.util.OptionalDouble;
 import org.cicadahead.fleet.EndpointPhase;
 import org.cicadahead.fleet.EndpointRecord;
+import org.cicadahead.model.RequestFingerprint;
 import org.junit.jupiter.api.Test;
 
 /** Tests the line of a request in the decision log, which is all that an on-call engineer has to explain a decision. */
@@ -50,6 +51,24 @@
         assertThat(line).doesNotContain("resumes");
     }
 
+    /**
+     * Without the time of writing, an attempt that waited for a connection cannot be told from a slow endpoint; without
+     * the fingerprint, a repetition that is not recognised cannot be told from another request.
+     */
+    @Test
+    void namesTheTimeHandedOnAndTheFingerprintOfASuspect() {
+        RequestFingerprint suspect = RequestFingerprint.of("o", "GET", "/", new byte[0]);
+        RequestTrace trace = new RequestTrace(request(-1, ""));
+        trace.written(700, 2_300);
+        trace.suspected(suspect);
+        trace.attempt(endpoint("e1", "v1"), "lost", OptionalDouble.empty(), 1, 703);
+        trace.attempt(endpoint("e2", "v1"), "not_sent", OptionalDouble.empty(), 703, 704);
+        assertThat(trace.line("endpoint_lost", 502, 0, 704, 0))
+                .contains("\"at_ms\":1,\"ms\":702,\"written_ms\":700,\"handed_ms\":2300,\"suspect\":\"" + suspect
+                        + "\"},{\"endpoint\":\"e2\",\"version\":\"v1\",\"outcome\":\"not_sent\",\"at_ms\":703,"
+                        + "\"ms\":1}]");
+    }
+
     /** Without the resumed attempt, the parts of a stream that two entries have sent cannot be brought together. */
     @Test
     void namesTheAttemptThatARequestResumes() {
