Take a response that ends inside an event for a possible crash

A request that crashes each endpoint that runs it kept reaching endpoints if they crashed during a stream that has neither a length nor chunks: the end of the connection is then a regular end of the response, and only the event that it cuts off shows that it is not complete. EndpointAttempts took this for an invalid response (bad_answer), and only a lost connection was evidence of a crash, so the request never came into quarantine.

Such an end is now a reason of its own, incomplete, and evidence like a lost connection. An endpoint that merely truncates single responses goes on to respond, which refutes it within a second, as does the next answer to the request.

--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -331,7 +331,7 @@
     private void retry(RetryReason reason) {
         long now = scope.context().nowMillis();
         placement.failed(reason, now);
-        if (reason == RetryReason.LOST) {
+        if (reason.mayBeCrash()) {
             scope.trace().suspected(scope.context().crashes().lost(admitted, placement.record(), now));
         } else if (reason == RetryReason.FAILED) {
             answered(relay.head(), now);
@@ -460,7 +460,7 @@
                     if (relay.isComplete()) {
                         complete(relay.head());
                     } else {
-                        retry(RetryReason.BAD_ANSWER);
+                        retry(RetryReason.INCOMPLETE);
                     }
                 }
             }
--- a/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
@@ -12,8 +12,10 @@
     NOT_SENT(false, false),
     /** The connection was lost after the request was sent. */
     LOST(true, false),
-    /** The response does not match the request, carries no signature, is incomplete or is too large. */
+    /** The response does not match the request, carries no signature or is too large. */
     BAD_ANSWER(true, false),
+    /** The response ended inside an event, as it does when the endpoint crashes and nothing else states its length. */
+    INCOMPLETE(true, false),
     /** The endpoint responded with a server error, or with any error to a stream that was to be resumed there. */
     FAILED(true, true),
     /** The endpoint did not send the first byte of its response in time. */
@@ -38,6 +40,11 @@
         return answered;
     }
 
+    /** Returns whether the endpoint may have crashed while it ran the request. */
+    boolean mayBeCrash() {
+        return this == LOST || this == INCOMPLETE;
+    }
+
     String code() {
         return name().toLowerCase(Locale.ROOT);
     }
