Report the present age of evidence that has waited for a hub

Evidence of a crash was sent to the hubs with the age that it had when it was recorded, however long it waited for a hub to answer. The other entries and the hubs then dated the crash too late. A response refutes a crash within a second of it, because an endpoint that crashed is down for longer. With the crash dated too late, the first responses of the next incarnation fall into that second, and while an entry does not know its start time, they refute the crash at all entries and the request comes back.

CrashTracker now keeps the time since which evidence waits, and computes the age when it sends a report. CrashQuarantineTest.reportsTheAgeOfEvidenceThatHasWaited failed before on: age 0 after 5 s, expected 5,000 ms.

--- a/core/src/main/java/org/cicadahead/fleet/CrashEvidence.java
+++ b/core/src/main/java/org/cicadahead/fleet/CrashEvidence.java
@@ -26,4 +26,15 @@
             throw new IllegalArgumentException("The age must not be negative: " + ageMillis);
         }
     }
+
+    /**
+     * Returns this observation after some time has passed.
+     *
+     * @param millis the time that has passed, in milliseconds
+     * @return the observation with a greater age
+     * @throws IllegalArgumentException if the age becomes negative
+     */
+    public CrashEvidence olderBy(long millis) {
+        return new CrashEvidence(request, incarnation, refuted, ageMillis + millis);
+    }
 }
--- a/gateway/src/main/java/org/cicadahead/gateway/CrashTracker.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/CrashTracker.java
@@ -31,10 +31,18 @@
     private static final Logger LOG = Logger.getLogger("cicadahead.gateway");
 
     private final CrashTable table = CrashTable.create();
-    private final List<CrashEvidence> unreported = new ArrayList<>();
+    private final List<Unreported> unreported = new ArrayList<>();
     private boolean reporting;
     private long repeatedMillis = Long.MIN_VALUE;
 
+    /** Evidence that waits to be reported, and the monotonic time since which it does, in milliseconds. */
+    private record Unreported(CrashEvidence evidence, long sinceMillis) {
+
+        CrashEvidence evidenceAt(long nowMillis) {
+            return evidence.olderBy(Math.max(0, nowMillis - sinceMillis));
+        }
+    }
+
     /** Returns how long a request remains in quarantine, in milliseconds; empty if it may be sent. */
     OptionalLong quarantineMillis(AdmittedRequest request, long nowMillis) {
         return mayHold(request) ? table.quarantineMillis(fingerprint(request), nowMillis) : OptionalLong.empty();
@@ -48,7 +56,7 @@
         RequestFingerprint fingerprint = fingerprint(request);
         CrashEvidence evidence = new CrashEvidence(fingerprint, incarnation(endpoint), false, 0);
         if (add(evidence, nowMillis)) {
-            report(List.of(evidence));
+            report(List.of(evidence), nowMillis);
         }
         return fingerprint;
     }
@@ -56,9 +64,9 @@
     /** Records a response that proves that an endpoint is alive and ran a request, which thus crashes no endpoints. */
     void answered(AdmittedRequest request, EndpointRecord endpoint, long nowMillis) {
         if (mayHold(request)) {
-            report(refuted(table.refute(fingerprint(request), nowMillis), "answered", endpoint));
+            report(refuted(table.refute(fingerprint(request), nowMillis), "answered", endpoint), nowMillis);
         }
-        report(refuted(table.refuteCrash(incarnation(endpoint), nowMillis), "not down", endpoint));
+        report(refuted(table.refuteCrash(incarnation(endpoint), nowMillis), "not down", endpoint), nowMillis);
     }
 
     private static List<CrashEvidence> refuted(List<CrashEvidence> evidence, String reason, EndpointRecord endpoint) {
@@ -82,7 +90,7 @@
      * @param nowMillis monotonic time in milliseconds
      */
     void tick(Function<ReportCrashes, CompletableFuture<Done>> hubs, long nowMillis) {
-        List<CrashEvidence> batch;
+        List<Unreported> batch;
         synchronized (this) {
             if (reporting) {
                 return;
@@ -91,7 +99,7 @@
                 repeatedMillis = nowMillis;
                 table.expire(nowMillis);
                 if (unreported.isEmpty()) {
-                    unreported.addAll(table.quarantineEvidence(nowMillis));
+                    addUnreported(table.quarantineEvidence(nowMillis), nowMillis);
                 }
             }
             if (unreported.isEmpty()) {
@@ -101,27 +109,33 @@
             unreported.subList(0, batch.size()).clear();
             reporting = true;
         }
-        hubs.apply(new ReportCrashes(batch)).whenComplete((done, failure) -> reported(batch, failure == null));
+        List<CrashEvidence> evidence =
+                batch.stream().map(each -> each.evidenceAt(nowMillis)).toList();
+        hubs.apply(new ReportCrashes(evidence)).whenComplete((done, failure) -> reported(batch, failure == null));
     }
 
-    private synchronized void reported(List<CrashEvidence> batch, boolean received) {
+    private synchronized void reported(List<Unreported> batch, boolean received) {
         reporting = false;
         if (!received) {
             unreported.addAll(0, batch);
         }
     }
 
-    private void report(List<CrashEvidence> evidence) {
+    private void report(List<CrashEvidence> evidence, long nowMillis) {
         if (evidence.isEmpty()) {
             return;
         }
         synchronized (this) {
             if (unreported.size() < MAX_UNREPORTED) {
-                unreported.addAll(evidence);
+                addUnreported(evidence, nowMillis);
             }
         }
     }
 
+    private void addUnreported(List<CrashEvidence> evidence, long nowMillis) {
+        evidence.forEach(each -> unreported.add(new Unreported(each, nowMillis)));
+    }
+
     private boolean add(CrashEvidence evidence, long nowMillis) {
         RequestFingerprint request = evidence.request();
         boolean wasQuarantined = table.quarantineMillis(request, nowMillis).isPresent();
--- a/gateway/src/test/java/org/cicadahead/gateway/CrashQuarantineTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/CrashQuarantineTest.java
@@ -153,4 +153,19 @@
         first.context.crashes().tick(report -> receive(report, second), now + 2_000);
         assertThat(reported).hasSize(6);
     }
+
+    /** Evidence that waits for a hub must not seem younger, or a later incarnation refutes it where it is merged. */
+    @Test
+    void reportsTheAgeOfEvidenceThatHasWaited() {
+        crash(first, POISON);
+        long now = GatewayNode.nowMillis();
+        first.context
+                .crashes()
+                .tick(report -> CompletableFuture.failedFuture(new IllegalStateException("no hub")), now);
+        first.context.crashes().tick(report -> receive(report, second), now + 5_000);
+        assertThat(reported).hasSize(2);
+        for (CrashEvidence evidence : reported) {
+            assertThat(evidence.ageMillis()).isAtLeast(5_000L);
+        }
+    }
 }
