--- a/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
@@ -55,7 +55,7 @@
             return;
         }
         scope.expireAt(admitted.deadlineMillis());
-        PriorityClass priority = context.programs().priority(admitted, caller.receivedMillis());
+        PriorityClass priority = context.programs().priority(admitted, context.nowMillis());
         scope.trace().priority(priority);
         context.rateLimiter()
                 .admit(admitted.organisation(), priority, refusal -> rateDecided(scope, admitted, refusal));
