Recognise a repetition of a crashing request with another query

A request that crashes each endpoint that runs it was only recognised if its query was the same. What the platform says of its repetitions is that path, caller and body are the same. With a query that differs each time, nothing bounded them; with one that differs now and then, each such repetition was let through beside a quarantine.

The fingerprint contained path and query. It now contains the path alone. A request without a body also has a second fingerprint with the query, as the query may then be all that distinguishes it from requests on its path that are answered: their answers refute the evidence under the path, but not that under the path and query.

GatewayFixture now separates the path from the target; no test had a query before.

--- a/core/src/main/java/org/cicadahead/model/RequestFingerprint.java
+++ b/core/src/main/java/org/cicadahead/model/RequestFingerprint.java
@@ -9,7 +9,8 @@
 import java.util.regex.Pattern;
 
 /**
- * Identifies a request that callers send repeatedly: by its organisation, method, path and query, and body.
+ * Identifies a request that callers send repeatedly: by its organisation, method, target and body. The target is the
+ * path with or without the query.
  *
  * <p>The text begins with a summary of 32 bits that is cheap to compute, so that a table of fingerprints can tell for
  * most requests that it does not hold theirs. A part of a SHA-256 digest follows. Immutable and thread-safe.
@@ -48,7 +49,7 @@
      *
      * @param organisation the name of its organisation; empty if it has none
      * @param method the HTTP method
-     * @param target the path and query
+     * @param target the path, and the query if it identifies the request
      * @param body the body
      * @return the fingerprint
      */
@@ -72,7 +73,7 @@
     /**
      * Returns the summary that the fingerprints of all requests with a target and a body size have in common.
      *
-     * @param target the path and query
+     * @param target the path, and the query if it identifies the request
      * @param bodyBytes the size of the body, in bytes
      * @return the summary
      */
--- a/gateway/src/main/java/org/cicadahead/gateway/CrashTracker.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/CrashTracker.java
@@ -45,26 +45,37 @@
 
     /** Returns how long a request remains in quarantine, in milliseconds; empty if it may be sent. */
     OptionalLong quarantineMillis(AdmittedRequest request, long nowMillis) {
-        return mayHold(request) ? table.quarantineMillis(fingerprint(request), nowMillis) : OptionalLong.empty();
+        OptionalLong longest = OptionalLong.empty();
+        for (RequestFingerprint each : heldFingerprints(request)) {
+            OptionalLong millis = table.quarantineMillis(each, nowMillis);
+            if (millis.isPresent() && millis.getAsLong() > longest.orElse(0)) {
+                longest = millis;
+            }
+        }
+        return longest;
     }
 
     /**
-     * Records that the connection to an endpoint was lost while it ran a request; returns the fingerprint under which
-     * its repetitions are recognised.
+     * Records that the connection to an endpoint was lost while it ran a request; returns the fingerprint that all
+     * repetitions of the request have in common.
      */
     RequestFingerprint lost(AdmittedRequest request, EndpointRecord endpoint, long nowMillis) {
-        RequestFingerprint fingerprint = fingerprint(request);
-        CrashEvidence evidence = new CrashEvidence(fingerprint, incarnation(endpoint), false, 0);
-        if (add(evidence, nowMillis)) {
-            report(List.of(evidence), nowMillis);
+        List<RequestFingerprint> fingerprints = targets(request).stream()
+                .map(each -> fingerprint(request, each))
+                .toList();
+        for (RequestFingerprint each : fingerprints) {
+            CrashEvidence evidence = new CrashEvidence(each, incarnation(endpoint), false, 0);
+            if (add(evidence, nowMillis)) {
+                report(List.of(evidence), nowMillis);
+            }
         }
-        return fingerprint;
+        return fingerprints.get(0);
     }
 
     /** Records a response that proves that an endpoint is alive and ran a request, which thus crashes no endpoints. */
     void answered(AdmittedRequest request, EndpointRecord endpoint, long nowMillis) {
-        if (mayHold(request)) {
-            report(refuted(table.refute(fingerprint(request), nowMillis), "answered", endpoint), nowMillis);
+        for (RequestFingerprint each : heldFingerprints(request)) {
+            report(refuted(table.refute(each, nowMillis), "answered", endpoint), nowMillis);
         }
         report(refuted(table.refuteCrash(incarnation(endpoint), nowMillis), "not down", endpoint), nowMillis);
     }
@@ -149,17 +160,31 @@
         return added;
     }
 
-    private boolean mayHold(AdmittedRequest request) {
-        return table.mayHold(RequestFingerprint.summary(
-                request.caller().target(), request.caller().body().length));
+    /** Returns the fingerprints of a request about which there may be evidence. */
+    private List<RequestFingerprint> heldFingerprints(AdmittedRequest request) {
+        int bodyBytes = request.caller().body().length;
+        return targets(request).stream()
+                .filter(each -> table.mayHold(RequestFingerprint.summary(each, bodyBytes)))
+                .map(each -> fingerprint(request, each))
+                .toList();
+    }
+
+    /**
+     * Returns the targets by which a request is recognised: its path, as the query of a repetition may differ. Without
+     * a body, only the query may distinguish it from requests that are answered; then also its path and query.
+     */
+    private static List<String> targets(AdmittedRequest request) {
+        CallerRequest caller = request.caller();
+        boolean isPathEnough = caller.body().length > 0 || caller.target().equals(caller.path());
+        return isPathEnough ? List.of(caller.path()) : List.of(caller.path(), caller.target());
     }
 
     private static String incarnation(EndpointRecord endpoint) {
         return endpoint.id() + "@" + endpoint.bornMillis();
     }
 
-    private static RequestFingerprint fingerprint(AdmittedRequest request) {
+    private static RequestFingerprint fingerprint(AdmittedRequest request, String target) {
         CallerRequest caller = request.caller();
-        return RequestFingerprint.of(request.organisationName(), caller.method(), caller.target(), caller.body());
+        return RequestFingerprint.of(request.organisationName(), caller.method(), target, caller.body());
     }
 }
--- a/gateway/src/test/java/org/cicadahead/gateway/CrashQuarantineTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/CrashQuarantineTest.java
@@ -168,4 +168,26 @@
             assertThat(evidence.ageMillis()).isAtLeast(5_000L);
         }
     }
+
+    /** The query of a repetition may differ, also if the request has no body. */
+    @Test
+    void recognisesARepetitionWithAnotherQuery() {
+        crash(first, POISON);
+        restartEndpoints(first, 1);
+        crash(first, POISON + "?n=1");
+        assertThat(send(first, POISON + "?n=2").refusal.reason()).isEqualTo(RefusalReason.REQUEST_QUARANTINED);
+        assertThat(send(first, POISON).refusal.reason()).isEqualTo(RefusalReason.REQUEST_QUARANTINED);
+    }
+
+    /** Answers to other queries of its path must not let a request through that crashes with its own query. */
+    @Test
+    void isNotClearedByAnswersToOtherQueriesOfItsPath() {
+        crash(first, POISON + "?n=1");
+        send(first, POISON + "?n=2");
+        first.endpoints.last().answer(200, "done");
+        restartEndpoints(first, 1);
+        crash(first, POISON + "?n=1");
+        assertThat(send(first, POISON + "?n=1").refusal.reason()).isEqualTo(RefusalReason.REQUEST_QUARANTINED);
+        assertThat(send(first, POISON + "?n=2").refusal).isNull();
+    }
 }
--- a/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
@@ -105,7 +105,7 @@
                 attempt,
                 method,
                 path,
-                path,
+                path.replaceFirst("\\?.*", ""),
                 "h",
                 List.of(),
                 new byte[0],
