Test that a path is cleared after endpoints are lost at once

Guards against an innocent path in quarantine since fingerprints leave the query out: three requests of one path with different queries that run at three endpoints which are lost together. The answer to the retry of any of them clears the path.

--- a/gateway/src/test/java/org/cicadahead/gateway/CrashQuarantineTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/CrashQuarantineTest.java
@@ -190,4 +190,19 @@
         assertThat(send(first, POISON + "?n=1").refusal.reason()).isEqualTo(RefusalReason.REQUEST_QUARANTINED);
         assertThat(send(first, POISON + "?n=2").refusal).isNull();
     }
+
+    /** Endpoints that are lost at once, with different queries of one path, must not put that path into quarantine. */
+    @Test
+    void isClearedByTheRetryOfAnotherQueryOfItsPath() {
+        for (int i = 0; i < 3; i++) {
+            send(first, POISON + "?n=" + i);
+        }
+        for (FakeEndpoints.Sent each : List.copyOf(first.endpoints.sent)) {
+            each.listener.failed(true, "reset");
+        }
+        assertThat(send(first, POISON + "?n=3").refusal.reason()).isEqualTo(RefusalReason.REQUEST_QUARANTINED);
+        restartEndpoints(first, 1);
+        first.endpoints.sent.get(3).answer(200, "done");
+        assertThat(send(first, POISON + "?n=3").refusal).isNull();
+    }
 }
