--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -331,8 +331,8 @@
     private void retry(RetryReason reason) {
         long now = scope.context().nowMillis();
         placement.failed(reason, now);
-        if (reason == RetryReason.LOST) {
-            scope.context().crashes().lost(admitted, placement.record(), now);
+        if (reason.mayBeCrash()) {
+            scope.trace().suspected(scope.context().crashes().lost(admitted, placement.record(), now));
         } else if (reason == RetryReason.FAILED) {
             answered(relay.head(), now);
         }
@@ -398,6 +398,15 @@
             this.attempt = attempt;
         }
 
+        @Override
+        public void written(long timeLeftMillis) {
+            synchronized (scope) {
+                if (isCurrent()) {
+                    scope.trace().written(scope.context().nowMillis(), timeLeftMillis);
+                }
+            }
+        }
+
         @Override
         public void head(ResponseHead head) {
             synchronized (scope) {
@@ -451,7 +460,7 @@
                     if (relay.isComplete()) {
                         complete(relay.head());
                     } else {
-                        retry(RetryReason.BAD_ANSWER);
+                        retry(RetryReason.INCOMPLETE);
                     }
                 }
             }
