Log the events that each attempt added to a stream

The decision log named the endpoints and outcomes of a request, but not what they had sent. A stream that ends early because its second endpoint sent too little could not be told from one that was complete.

Each attempt now has the status of its response and, for a stream, the last event before it, the first and last event that it added, and the numbers of events passed on and dropped as repeated.

RequestTraceTest: namesTheVersionAndTheRequestLimitOfAnEndpoint expects the status, too; namesTheEventsThatEachAttemptAdded is new. No decision is changed.

--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -322,9 +321,7 @@
     }
 
     private void traceAttempt(String outcome, long now) {
-        ResponseHead head = relay.head();
-        OptionalDouble requestLimit = head == null ? OptionalDouble.empty() : head.requestLimit();
-        scope.trace().attempt(placement.record(), outcome, requestLimit, sentMillis, now);
+        scope.trace().attempt(placement.record(), outcome, relay.summary(), sentMillis, now);
     }
 
     /** Retries at another endpoint if the route, the attempt limit and the time left allow it. */
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
@@ -6,7 +6,6 @@
 import java.io.StringWriter;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalDouble;
 import org.cicadahead.fleet.EndpointRecord;
 import org.cicadahead.fleet.PriorityClass;
 
@@ -23,7 +22,7 @@
     private long openedAfterMillis = -1;
 
     private record Attempt(
-            EndpointRecord endpoint, String outcome, OptionalDouble requestLimit, long beganMillis, long endedMillis) {}
+            EndpointRecord endpoint, String outcome, ResponseSummary response, long beganMillis, long endedMillis) {}
 
     RequestTrace(CallerRequest caller) {
         this.caller = caller;
@@ -47,8 +46,8 @@
     }
 
     void attempt(
-            EndpointRecord endpoint, String outcome, OptionalDouble requestLimit, long beganMillis, long endedMillis) {
-        attempts.add(new Attempt(endpoint, outcome, requestLimit, beganMillis, endedMillis));
+            EndpointRecord endpoint, String outcome, ResponseSummary response, long beganMillis, long endedMillis) {
+        attempts.add(new Attempt(endpoint, outcome, response, beganMillis, endedMillis));
     }
 
     /** Returns the log line as JSON; {@code wallMillis} is the wall-clock time at which the request ended. */
@@ -89,16 +88,7 @@
             json.writeNumberField("tokens", tokens);
             json.writeArrayFieldStart("attempts");
             for (Attempt each : attempts) {
-                json.writeStartObject();
-                json.writeStringField("endpoint", each.endpoint.id());
-                json.writeStringField("version", each.endpoint.softwareVersion());
-                json.writeStringField("outcome", each.outcome);
-                if (each.requestLimit.isPresent()) {
-                    json.writeNumberField("request_limit", each.requestLimit.getAsDouble());
-                }
-                json.writeNumberField("at_ms", each.beganMillis - caller.receivedMillis());
-                json.writeNumberField("ms", each.endedMillis - each.beganMillis);
-                json.writeEndObject();
+                writeAttempt(json, each);
             }
             json.writeEndArray();
             json.writeEndObject();
@@ -107,4 +97,28 @@
         }
         return text.toString();
     }
+
+    private void writeAttempt(JsonGenerator json, Attempt attempt) throws IOException {
+        ResponseSummary response = attempt.response;
+        json.writeStartObject();
+        json.writeStringField("endpoint", attempt.endpoint.id());
+        json.writeStringField("version", attempt.endpoint.softwareVersion());
+        json.writeStringField("outcome", attempt.outcome);
+        if (response.status() != 0) {
+            json.writeNumberField("status", response.status());
+        }
+        if (response.requestLimit().isPresent()) {
+            json.writeNumberField("request_limit", response.requestLimit().getAsDouble());
+        }
+        if (response.part() != null) {
+            json.writeNumberField("after", response.part().after());
+            json.writeNumberField("first", response.part().first());
+            json.writeNumberField("last", response.part().last());
+            json.writeNumberField("events", response.part().events());
+            json.writeNumberField("repeated", response.part().repeated());
+        }
+        json.writeNumberField("at_ms", attempt.beganMillis - caller.receivedMillis());
+        json.writeNumberField("ms", attempt.endedMillis - attempt.beganMillis);
+        json.writeEndObject();
+    }
 }
--- a/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
@@ -22,13 +22,17 @@
     private final ResponseMemory.Holding memory;
     private boolean tooLarge;
     private ResponseHead head;
+    private final long afterEventId;
+    private long firstEventId = -1;
     private long lastEventId;
     private boolean started;
     private int eventCount;
+    private int repeatedCount;
 
     private ResponseRelay(AdmittedRequest admitted, long lastEventId, ResponseMemory.Holding memory) {
         this.admitted = admitted;
         this.memory = memory;
+        this.afterEventId = lastEventId;
         this.lastEventId = lastEventId;
     }
 
@@ -83,9 +87,11 @@
         List<StreamEvent> newEvents = new ArrayList<>();
         for (StreamEvent event : parser.feed(chunk)) {
             if (event.id() >= 0 && event.id() <= lastEventId) {
+                repeatedCount++;
                 continue;
             }
             if (event.id() >= 0) {
+                firstEventId = firstEventId < 0 ? event.id() : firstEventId;
                 lastEventId = event.id();
             }
             if (event.data() != null) {
@@ -107,6 +113,18 @@
         return head;
     }
 
+    /** Returns what the endpoint has responded so far. */
+    ResponseSummary summary() {
+        if (head == null) {
+            return ResponseSummary.NONE;
+        }
+        long last = firstEventId < 0 ? -1 : lastEventId;
+        ResponseSummary.StreamPart part = isStream()
+                ? new ResponseSummary.StreamPart(afterEventId, firstEventId, last, eventCount, repeatedCount)
+                : null;
+        return new ResponseSummary(head.status(), head.requestLimit(), part);
+    }
+
     boolean hasStarted() {
         return started;
     }
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestTraceTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestTraceTest.java
@@ -40,12 +40,12 @@
     @Test
     void namesTheVersionAndTheRequestLimitOfAnEndpoint() {
         RequestTrace trace = new RequestTrace(request(-1, ""));
-        trace.attempt(endpoint("e1", "v1"), "rejected", OptionalDouble.of(6.5), 1, 3);
-        trace.attempt(endpoint("e2", "v2"), "ok", OptionalDouble.empty(), 4, 9);
+        trace.attempt(endpoint("e1", "v1"), "rejected", new ResponseSummary(503, OptionalDouble.of(6.5), null), 1, 3);
+        trace.attempt(endpoint("e2", "v2"), "ok", ResponseSummary.NONE, 4, 9);
         String line = trace.line("answered", 200, 0, 9, 0);
         assertThat(line)
                 .contains("\"attempts\":[{\"endpoint\":\"e1\",\"version\":\"v1\",\"outcome\":\"rejected\","
-                        + "\"request_limit\":6.5,\"at_ms\":1,\"ms\":2},"
+                        + "\"status\":503,\"request_limit\":6.5,\"at_ms\":1,\"ms\":2},"
                         + "{\"endpoint\":\"e2\",\"version\":\"v2\",\"outcome\":\"ok\",\"at_ms\":4,\"ms\":5}]");
         assertThat(line).doesNotContain("resumes");
     }
@@ -56,4 +56,22 @@
         RequestTrace trace = new RequestTrace(request(3, "first"));
         assertThat(trace.line("streamed", 200, 0, 9, 0)).contains("\"last_event\":3,\"resumes\":\"first\"");
     }
+
+    /** Without the events of each attempt, a stream that ended early cannot be told from one that was complete. */
+    @Test
+    void namesTheEventsThatEachAttemptAdded() {
+        RequestTrace trace = new RequestTrace(request(-1, ""));
+        trace.attempt(endpoint("e1", "v"), "lost", streamed(-1, 1, 3, 3, 0), 1, 3);
+        trace.attempt(endpoint("e2", "v"), "ok", streamed(3, -1, -1, 0, 2), 4, 9);
+        assertThat(trace.line("streamed", 200, 0, 9, 0))
+                .contains("\"outcome\":\"lost\",\"status\":200,"
+                        + "\"after\":-1,\"first\":1,\"last\":3,\"events\":3,\"repeated\":0,\"at_ms\":1,\"ms\":2},"
+                        + "{\"endpoint\":\"e2\",\"version\":\"v\",\"outcome\":\"ok\",\"status\":200,"
+                        + "\"after\":3,\"first\":-1,\"last\":-1,\"events\":0,\"repeated\":2,");
+    }
+
+    private static ResponseSummary streamed(long after, long first, long last, int events, int repeated) {
+        return new ResponseSummary(
+                200, OptionalDouble.empty(), new ResponseSummary.StreamPart(after, first, last, events, repeated));
+    }
 }
