Join two responses only where their events fit

Cause: a success was accepted as the rest of a stream that had broken off whatever it contained, and its end as the end of the stream: a response without events, one whose first event came after a gap, and a repetition that ended before the last event the caller had. Class of fault: the end of one response was taken for the end of the stream, although nothing showed that the two responses belong together. Events without an id came twice, for the same reason: their place is not known.

Change: EventSequence checks the place where two responses are joined. The second one repeats the last event passed on, or goes on at its successor; the successor is known from the distance of ids so far, in this stream or in complete ones of the service. Otherwise the attempt ends with the new reason "gap": the stream goes on at another endpoint, or is reset, and its caller may resume it. A stream is not resumed after an event without an id.

Why it works: a reset promises nothing, and the caller's own resumption is answered by one endpoint, whose whole response is passed on. Within a response, the distance of ids is left to the endpoint.

--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -157,7 +157,10 @@
         sentMillis = now;
         possibleRuns++;
         ResponseMemory memory = scope.context().responseMemory();
-        relay = relay == null ? ResponseRelay.create(admitted, lastEventId, memory) : relay.next(memory);
+        relay = relay == null
+                ? ResponseRelay.create(
+                        admitted, scope.context().eventDistances().newSequence(admitted), memory)
+                : relay.next(memory);
         cancellation = null;
         boolean repeatable = admitted.route().mayRepeat();
         EndpointRequest request = new EndpointRequest(
@@ -346,7 +349,8 @@
                 return;
             }
         } else if (!admitted.route().mayRepeat()
-                || possibleRuns >= admitted.route().maxAttempts()) {
+                || possibleRuns >= admitted.route().maxAttempts()
+                || !relay.sequence().isResumable()) {
             refuse(RefusalReason.ENDPOINT_LOST, 0);
             return;
         }
@@ -376,6 +380,7 @@
             scope.answer(head, relay.body(), tokens);
             return;
         }
+        scope.context().eventDistances().streamCompleted(admitted.service().name(), relay.sequence());
         long total = tokens;
         turn.complete(total, relay.output()).whenComplete((done, failure) -> {
             if (failure == null) {
@@ -435,8 +440,8 @@
                     tokens += relay.tokens(event);
                     scope.chunk(relay.head(), event.bytes());
                 }
-                if (relay.exceedsLimit()) {
-                    retry(RetryReason.BAD_ANSWER);
+                if (relay.fault() != null) {
+                    retry(relay.fault());
                 }
             }
         }
@@ -445,10 +450,11 @@
         public void end() {
             synchronized (scope) {
                 if (isCurrent()) {
-                    if (relay.isComplete()) {
+                    RetryReason reason = relay.checkEnd();
+                    if (reason == null) {
                         complete(relay.head());
                     } else {
-                        retry(RetryReason.BAD_ANSWER);
+                        retry(reason);
                     }
                 }
             }
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
@@ -13,6 +13,7 @@
     private final TurnTextCache turnTexts = new TurnTextCache();
     private final ProgramTracker programs = new ProgramTracker();
     private final CrashTracker crashes = new CrashTracker();
+    private final EventDistances eventDistances = new EventDistances();
     private final EndpointClient endpoints;
     private final GatewayCounters counters;
     private final DecisionLog decisions;
@@ -74,6 +75,10 @@
         return crashes;
     }
 
+    EventDistances eventDistances() {
+        return eventDistances;
+    }
+
     EndpointClient endpoints() {
         return endpoints;
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
@@ -20,29 +20,30 @@
     private final ByteArrayOutputStream bodyBuffer = new ByteArrayOutputStream();
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
     private final ResponseMemory.Holding memory;
-    private boolean tooLarge;
-    private ResponseHead head;
+    private final EventSequence sequence;
     private final long afterEventId;
+    private ResponseHead head;
     private long firstEventId = -1;
-    private long lastEventId;
+    private RetryReason fault;
     private boolean started;
     private int eventCount;
     private int repeatedCount;
 
-    private ResponseRelay(AdmittedRequest admitted, long lastEventId, ResponseMemory.Holding memory) {
+    private ResponseRelay(AdmittedRequest admitted, EventSequence sequence, ResponseMemory.Holding memory) {
         this.admitted = admitted;
         this.memory = memory;
-        this.afterEventId = lastEventId;
-        this.lastEventId = lastEventId;
+        this.sequence = sequence;
+        this.afterEventId = sequence.last();
     }
 
-    static ResponseRelay create(AdmittedRequest admitted, long lastEventId, ResponseMemory memory) {
-        return new ResponseRelay(admitted, lastEventId, memory.newHolding());
+    static ResponseRelay create(AdmittedRequest admitted, EventSequence sequence, ResponseMemory memory) {
+        return new ResponseRelay(admitted, sequence, memory.newHolding());
     }
 
     /** Returns the relay of a further attempt, which continues the stream where this one broke off. */
     ResponseRelay next(ResponseMemory responseMemory) {
-        ResponseRelay next = create(admitted, lastEventId, responseMemory);
+        sequence.beginResponse();
+        ResponseRelay next = new ResponseRelay(admitted, sequence, responseMemory.newHolding());
         next.output.writeBytes(output.toByteArray());
         return next;
     }
@@ -77,7 +78,7 @@
     List<StreamEvent> processData(byte[] chunk) {
         started = true;
         if (!memory.resize((long) bodyBuffer.size() + output.size() + parser.bufferedBytes() + chunk.length)) {
-            tooLarge = true;
+            fault = RetryReason.BAD_ANSWER;
             return List.of();
         }
         if (!isStream()) {
@@ -86,13 +87,17 @@
         }
         List<StreamEvent> newEvents = new ArrayList<>();
         for (StreamEvent event : parser.feed(chunk)) {
-            if (event.id() >= 0 && event.id() <= lastEventId) {
+            EventSequence.Fit fit = sequence.add(event);
+            if (fit == EventSequence.Fit.GAP) {
+                fault = RetryReason.GAP;
+                return newEvents;
+            }
+            if (fit == EventSequence.Fit.REPEATED) {
                 repeatedCount++;
                 continue;
             }
-            if (event.id() >= 0) {
-                firstEventId = firstEventId < 0 ? event.id() : firstEventId;
-                lastEventId = event.id();
+            if (firstEventId < 0) {
+                firstEventId = event.id();
             }
             if (event.data() != null) {
                 output.writeBytes(event.data());
@@ -106,7 +111,7 @@
 
     /** Returns the id of the last event passed on, by this attempt or an earlier one; -1 if there was none. */
     long lastEventId() {
-        return lastEventId;
+        return sequence.last();
     }
 
     ResponseHead head() {
@@ -118,7 +123,7 @@
         if (head == null) {
             return ResponseSummary.NONE;
         }
-        long last = firstEventId < 0 ? -1 : lastEventId;
+        long last = firstEventId < 0 ? -1 : sequence.last();
         ResponseSummary.StreamPart part = isStream()
                 ? new ResponseSummary.StreamPart(afterEventId, firstEventId, last, eventCount, repeatedCount)
                 : null;
@@ -138,9 +143,18 @@
         return admitted.route().repetition().isStreamed() && head.isSuccess();
     }
 
-    /** Returns whether an event or the buffered body exceeds its size limit, or all responses exceed theirs. */
-    boolean exceedsLimit() {
-        return tooLarge || parser.isTooLarge() || bodyBuffer.size() > MAX_BODY_BYTES;
+    /**
+     * Returns the reason to end the response before its end, or null: an event or the buffered body exceeds its size
+     * limit, all responses exceed theirs, or the events do not continue the stream.
+     */
+    RetryReason fault() {
+        boolean tooLarge = parser.isTooLarge() || bodyBuffer.size() > MAX_BODY_BYTES;
+        return tooLarge ? RetryReason.BAD_ANSWER : fault;
+    }
+
+    /** Returns the events passed on so far, by this attempt and those that it continues. */
+    EventSequence sequence() {
+        return sequence;
     }
 
     /** Returns the memory of a response that is no longer needed. */
@@ -148,9 +162,15 @@
         memory.release();
     }
 
-    /** Returns whether a response that has ended is complete, without a partial event at its end. */
-    boolean isComplete() {
-        return head != null && !parser.hasPartialEvent();
+    /**
+     * Returns the reason not to accept the end of the response, or null if it is complete: it has a head, no partial
+     * event at its end, and no event of the stream is known to be missing.
+     */
+    RetryReason checkEnd() {
+        if (head == null || parser.hasPartialEvent()) {
+            return RetryReason.BAD_ANSWER;
+        }
+        return isStream() && !sequence.isComplete() ? RetryReason.GAP : null;
     }
 
     byte[] body() {
--- a/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
@@ -14,6 +14,8 @@
     LOST(true, false),
     /** The response does not match the request, carries no signature, is incomplete or is too large. */
     BAD_ANSWER(true, false),
+    /** The events of the response do not continue the stream that the caller has begun to read, or not to its end. */
+    GAP(true, false),
     /** The endpoint responded with a server error, or with any error to a stream that was to be resumed there. */
     FAILED(true, true),
     /** The endpoint did not send the first byte of its response in time. */
