Break a stream off whose ids go back

Callers saw: of a response whose ids went back or came twice, the events with those ids were dropped, and the rest ended as complete.

Cause: each event whose id was not above the last one passed on counted as a repetition, as at the start of a resumed stream. In any other place it is an event that belongs to the response, or a response of which the order cannot be trusted.

Evidence: StreamContinuityTest.idsThatGoBackBreakAStreamOff and anIdThatComesTwiceBreaksAStreamOff failed before (the stream was completed) and pass now.

Change: an id that is not above the one before it in the same response ends the attempt as a bad answer. A resumable stream goes on at another endpoint; any other is reset.

--- a/gateway/src/main/java/org/cicadahead/gateway/EventSequence.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EventSequence.java
@@ -24,7 +24,14 @@
         /** The caller has received it already. */
         REPEATED,
         /** Events between the last one passed on and this one are missing, or its place is unknown. */
-        GAP
+        GAP,
+        /** Its id is not above that of the event before it in the same response. */
+        OUT_OF_ORDER;
+
+        /** Returns whether the response cannot be a part of the stream. */
+        boolean isFault() {
+            return this == GAP || this == OUT_OF_ORDER;
+        }
     }
 
     private long last;
@@ -75,7 +82,7 @@
             return event.data() == null ? Fit.NEXT : addUnnumbered();
         }
         if (received != NONE && event.id() <= received) {
-            return Fit.REPEATED;
+            return Fit.OUT_OF_ORDER;
         }
         boolean continues = received == last || isSuccessor(event.id());
         if (event.id() <= last) {
--- a/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
@@ -88,8 +88,8 @@
         List<StreamEvent> newEvents = new ArrayList<>();
         for (StreamEvent event : parser.feed(chunk)) {
             EventSequence.Fit fit = sequence.add(event);
-            if (fit == EventSequence.Fit.GAP) {
-                fault = RetryReason.GAP;
+            if (fit.isFault()) {
+                fault = fit == EventSequence.Fit.GAP ? RetryReason.GAP : RetryReason.BAD_ANSWER;
                 return newEvents;
             }
             if (fit == EventSequence.Fit.REPEATED) {
--- a/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
@@ -12,7 +12,7 @@
     NOT_SENT(false, false),
     /** The connection was lost after the request was sent. */
     LOST(true, false),
-    /** The response does not match the request, carries no signature, is incomplete or is too large. */
+    /** The response does not match the request, carries no signature, is incomplete, too large or out of order. */
     BAD_ANSWER(true, false),
     /** The events of the response do not continue the stream that the caller has begun to read, or not to its end. */
     GAP(true, false),
--- a/gateway/src/test/java/org/cicadahead/gateway/StreamContinuityTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/StreamContinuityTest.java
@@ -158,6 +158,24 @@
         assertReset(events(1, 4, 5));
     }
 
+    /** Events whose ids go back are not dropped from a response that then counts as complete. */
+    @Test
+    void idsThatGoBackBreakAStreamOff() {
+        send("/stream/x");
+        begin(1, 2, 3, 2);
+        end();
+        assertReset(events(1, 2, 3));
+    }
+
+    /** A repeated id within one response breaks a stream off, also if the events differ. */
+    @Test
+    void anIdThatComesTwiceBreaksAStreamOff() {
+        send("/stream/x");
+        begin(1, 1);
+        end();
+        assertReset(events(1));
+    }
+
     /** The events of one endpoint's whole response are passed on unchanged, whatever the distance of their ids. */
     @Test
     void aWholeResponseMaySkipIds() {
