Merge the continuity of streams with the evidence of crashes

Conflicts: a response that ends inside an event has the reason incomplete of the one side, and the check of the end of the other side reports it; the line of an attempt has the fields of both sides.

--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -158,7 +157,10 @@
         sentMillis = now;
         possibleRuns++;
         ResponseMemory memory = scope.context().responseMemory();
-        relay = relay == null ? ResponseRelay.create(admitted, lastEventId, memory) : relay.next(memory);
+        relay = relay == null
+                ? ResponseRelay.create(
+                        admitted, scope.context().eventDistances().newSequence(admitted), memory)
+                : relay.next(memory);
         cancellation = null;
         boolean repeatable = admitted.route().mayRepeat();
         EndpointRequest request = new EndpointRequest(
@@ -322,9 +324,7 @@
     }
 
     private void traceAttempt(String outcome, long now) {
-        ResponseHead head = relay.head();
-        OptionalDouble requestLimit = head == null ? OptionalDouble.empty() : head.requestLimit();
-        scope.trace().attempt(placement.record(), outcome, requestLimit, sentMillis, now);
+        scope.trace().attempt(placement.record(), outcome, relay.summary(), sentMillis, now);
     }
 
     /** Retries at another endpoint if the route, the attempt limit and the time left allow it. */
@@ -349,7 +349,8 @@
                 return;
             }
         } else if (!admitted.route().mayRepeat()
-                || possibleRuns >= admitted.route().maxAttempts()) {
+                || possibleRuns >= admitted.route().maxAttempts()
+                || !relay.sequence().isResumable()) {
             refuse(RefusalReason.ENDPOINT_LOST, 0);
             return;
         }
@@ -379,6 +380,7 @@
             scope.answer(head, relay.body(), tokens);
             return;
         }
+        scope.context().eventDistances().streamCompleted(admitted.service().name(), relay.sequence());
         long total = tokens;
         turn.complete(total, relay.output()).whenComplete((done, failure) -> {
             if (failure == null) {
@@ -447,8 +449,8 @@
                     tokens += relay.tokens(event);
                     scope.chunk(relay.head(), event.bytes());
                 }
-                if (relay.exceedsLimit()) {
-                    retry(RetryReason.BAD_ANSWER);
+                if (relay.fault() != null) {
+                    retry(relay.fault());
                 }
             }
         }
@@ -457,10 +459,11 @@
         public void end() {
             synchronized (scope) {
                 if (isCurrent()) {
-                    if (relay.isComplete()) {
+                    RetryReason reason = relay.checkEnd();
+                    if (reason == null) {
                         complete(relay.head());
                     } else {
-                        retry(RetryReason.INCOMPLETE);
+                        retry(reason);
                     }
                 }
             }
--- a/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
@@ -12,10 +12,12 @@
     NOT_SENT(false, false),
     /** The connection was lost after the request was sent. */
     LOST(true, false),
-    /** The response does not match the request, carries no signature or is too large. */
+    /** The response does not match the request, carries no signature, is too large or out of order. */
     BAD_ANSWER(true, false),
     /** The response ended inside an event, as it does when the endpoint crashes and nothing else states its length. */
     INCOMPLETE(true, false),
+    /** The events of the response do not continue the stream that the caller has begun to read, or not to its end. */
+    GAP(true, false),
     /** The endpoint responded with a server error, or with any error to a stream that was to be resumed there. */
     FAILED(true, true),
     /** The endpoint did not send the first byte of its response in time. */
