Let a test of short waits measure the wait and not the machine

The request was sent between the check and the message: the timer's thread had not run within the 200 ms that the test slept.

The test now awaits the send for the time limit of its request, and checks that no wait given to the timer exceeds the 150 ms that the gateway may wait, in place of the 200 ms of wall-clock time; it still checks that exactly one request is sent and none refused.

--- a/gateway/src/test/java/org/cicadahead/gateway/FakeEndpoints.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/FakeEndpoints.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** A fake client whose responses are scripted by a test. */
 final class FakeEndpoints implements EndpointClient {
@@ -51,13 +52,26 @@
     @Override
     public Runnable send(EndpointRequest request, EndpointListener listener) {
         Sent each = new Sent(request, listener);
-        sent.add(each);
+        synchronized (this) {
+            sent.add(each);
+            notifyAll();
+        }
         return () -> {
             each.cancelled = true;
             each.ended.countDown();
         };
     }
 
+    /** Returns whether a number of requests have been sent, within a time in milliseconds. */
+    synchronized boolean awaitSent(int count, long timeoutMillis) throws InterruptedException {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+        for (long left = timeoutMillis; sent.size() < count && left > 0; ) {
+            wait(left);
+            left = TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime());
+        }
+        return sent.size() >= count;
+    }
+
     Sent last() {
         return sent.get(sent.size() - 1);
     }
--- a/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
@@ -5,7 +5,10 @@
 import java.io.PrintStream;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import org.cicadahead.fleet.EndpointPhase;
 import org.cicadahead.fleet.EndpointRecord;
 import org.cicadahead.fleet.FleetMessages;
@@ -26,7 +29,16 @@
     static final int MAX_ACTIVE = 12;
     private static final long MAX_RESPONSE_BYTES = 100_000;
 
-    final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1);
+    /** The delays with which tasks were given to the timer, in milliseconds. */
+    final List<Long> delays = new CopyOnWriteArrayList<>();
+
+    final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1) {
+        @Override
+        public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
+            delays.add(unit.toMillis(delay));
+            return super.schedule(task, delay, unit);
+        }
+    };
     final FakeEndpoints endpoints = new FakeEndpoints();
     final MetricRegistry metrics = new MetricRegistry();
     final EndpointSelector selector = new EndpointSelector("e", "z", 1_000);
--- a/gateway/src/test/java/org/cicadahead/gateway/LimitedEndpointsTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/LimitedEndpointsTest.java
@@ -78,8 +78,14 @@
             endpoints.last().answer(200, "done");
         }
         int sent = endpoints.sent.size();
+        gateway.delays.clear();
         sendOnce();
-        assertThat(caller.refused.await(200, TimeUnit.MILLISECONDS)).isFalse();
+        assertThat(endpoints.awaitSent(sent + 1, 2_000)).isTrue();
         assertThat(endpoints.sent).hasSize(sent + 1);
+        assertThat(caller.refusal).isNull();
+        // The first delay is that of the deadline, all others are waits.
+        for (long waitMillis : gateway.delays.subList(1, gateway.delays.size())) {
+            assertThat(waitMillis).isAtMost(150L);
+        }
     }
 }
