Recognise the last event of an engine by its content

Cause: a stream counted as complete once an event contained the text "usage" or "data: [DONE]". Engines that name the usage as null in each event, and generated text with these words, made any orderly end of the connection the end of the stream; an event with the second text was dropped, too.

Change: the usage counts if it is an object, and [DONE] if it is the whole value of a data line. An engine that states its usage in each event is still not covered.

--- a/endpoint/src/main/java/org/cicadahead/engine/EventSplitter.java
+++ b/endpoint/src/main/java/org/cicadahead/engine/EventSplitter.java
@@ -27,7 +27,7 @@
         lastEvents = 0;
         int start = 0;
         for (int end = nextEventEnd(buffer, start); end >= 0; end = nextEventEnd(buffer, start)) {
-            if (indexOf(buffer, start, end, DONE) >= 0) {
+            if (isDone(buffer, start, end)) {
                 doneReceived = true;
             } else {
                 events.write(buffer, start, end - start);
@@ -71,9 +71,23 @@
     }
 
     private void findUsage(byte[] buffer, int start, int end) {
-        if (indexOf(buffer, start, end, USAGE) >= 0) {
-            usageEvent = java.util.Arrays.copyOfRange(buffer, start, end);
+        if (indexOf(buffer, start, end, USAGE) < 0) {
+            return;
         }
+        byte[] event = java.util.Arrays.copyOfRange(buffer, start, end);
+        if (EngineBodies.usage(event) != null) {
+            usageEvent = event;
+        }
+    }
+
+    /** Returns whether a line of an event, and not a text in its data, ends the stream. */
+    private static boolean isDone(byte[] buffer, int start, int end) {
+        int index = indexOf(buffer, start, end, DONE);
+        if (index < 0) {
+            return false;
+        }
+        byte next = buffer[index + DONE.length];
+        return (index == start || buffer[index - 1] == '\n') && (next == '\n' || next == '\r');
     }
 
     private static int nextEventEnd(byte[] buffer, int from) {
