Continue a stream only with its own kind of response

Callers saw: a stream that broke off and was resumed at an endpoint that answered 204, 206, or 200 with plain text or JSON ended as complete, with the text of that answer (also the head of an error) behind its events. A turn was kept with that output.

Cause: since a resumption accepts any success with a signature, and its body is parsed as events whatever its media type is.

Change: a response that continues a stream must have the status and the media type of the one that began it; any other is a bad answer.

No check depends on the old behaviour.

--- a/gateway/src/main/java/org/cicadahead/gateway/ResponseHead.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.cicadahead.gateway;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.OptionalDouble;
 
 /**
@@ -31,6 +32,22 @@
         fields = List.copyOf(fields);
     }
 
+    /**
+     * Returns the media type of the body, without parameters.
+     *
+     * @return the type in lower case; empty if the endpoint states none
+     */
+    public String mediaType() {
+        for (HeaderField field : fields) {
+            if (field.name().equalsIgnoreCase("Content-Type")) {
+                String type = field.value();
+                int end = type.indexOf(';');
+                return (end < 0 ? type : type.substring(0, end)).trim().toLowerCase(Locale.ROOT);
+            }
+        }
+        return "";
+    }
+
     /**
      * Returns whether the status is a success.
      *
--- a/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
@@ -22,6 +22,9 @@
     private final ResponseMemory.Holding memory;
     private boolean tooLarge;
     private ResponseHead head;
+    /** The head of the response that began the stream; null while the caller has received no event. */
+    private ResponseHead begun;
+
     private long lastEventId;
     private boolean started;
     private int eventCount;
@@ -40,6 +43,7 @@
     ResponseRelay next(ResponseMemory responseMemory) {
         ResponseRelay next = create(admitted, lastEventId, responseMemory);
         next.output.writeBytes(output.toByteArray());
+        next.begun = begun;
         return next;
     }
 
@@ -65,10 +69,20 @@
         if (streamStarted && !received.isSuccess()) {
             return RetryReason.FAILED;
         }
+        if (streamStarted && !continuesStream(received)) {
+            return RetryReason.BAD_ANSWER;
+        }
         boolean failed = received.status() >= SERVER_ERROR;
         return failed && attemptsLeft && admitted.route().mayRepeat() ? RetryReason.FAILED : null;
     }
 
+    /** Returns whether a response may be appended to the one that began the stream. */
+    private boolean continuesStream(ResponseHead received) {
+        return begun != null
+                && received.status() == begun.status()
+                && received.mediaType().equals(begun.mediaType());
+    }
+
     /** Processes a chunk of the body; returns the complete events that the caller has not received yet. */
     List<StreamEvent> processData(byte[] chunk) {
         started = true;
@@ -92,6 +106,7 @@
                 output.writeBytes(event.data());
                 output.write('\n');
             }
+            begun = begun == null ? head : begun;
             eventCount++;
             newEvents.add(event);
         }
