Refuse requests that may outlast a planned stop

Callers saw: in a stop of one entry, a stream sent late on a kept connection was passed on and cut off at the end of the grace period; a request that must not be repeated got 504 after it had been passed on.

Change: from 2.5 s after SIGTERM, when the load balancer sends no new connections, a request is accepted only if its time limit ends before the stop. Any other is refused at once as not run. The time of the request's head counts, so that a slow body does not make it late.

--- a/gateway/src/main/java/org/cicadahead/gateway/CallerRequest.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/CallerRequest.java
@@ -23,7 +23,8 @@
  * @param lastEventId the id of the last event that the caller has received, if it resumes a stream; -1 otherwise
  * @param resumedAttempt the caller's attempt that brought the first event of the stream that it resumes; empty if the
  *     caller names none
- * @param receivedMillis the monotonic time at which the request was read, in milliseconds
+ * @param beganMillis the monotonic time at which the head of the request was read, in milliseconds
+ * @param receivedMillis the monotonic time at which the whole request was read, in milliseconds
  */
 public record CallerRequest(
         String attempt,
@@ -42,6 +43,7 @@
         long maxTokens,
         long lastEventId,
         String resumedAttempt,
+        long beganMillis,
         long receivedMillis) {
 
     /**
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
@@ -24,6 +24,7 @@
     private final AtomicInteger activeRequests = new AtomicInteger();
     private volatile SiteIndex site;
     private volatile long stopMillis = Long.MAX_VALUE;
+    private volatile long lateMillis = Long.MAX_VALUE;
 
     GatewayContext(
             EndpointSelector selector,
@@ -120,6 +121,17 @@
         stopMillis = millis;
     }
 
+    /**
+     * Returns the monotonic time from which on only requests are accepted that end before the stop, in milliseconds.
+     */
+    long lateMillis() {
+        return lateMillis;
+    }
+
+    void lateMillis(long millis) {
+        lateMillis = millis;
+    }
+
     /** Returns the current configuration, or null if none has been received. */
     SiteIndex site() {
         return site;
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
@@ -53,6 +53,13 @@
      */
     private static final long LAST_ANSWER_MILLIS = 100;
 
+    /**
+     * The time after SIGTERM in which requests are accepted that may outlast the process, in milliseconds: two health
+     * checks of the load balancer and the time that a new connection takes. Later requests come on connections that
+     * callers have kept open.
+     */
+    private static final long ROTATION_MILLIS = 2_500;
+
     /**
      * The heap reserved per request, in bytes. A request holds several copies of its body and of the text of its turn
      * chain: as read, as encoded for the stores and as sent to the endpoint. The limit on active requests that follows
@@ -183,6 +190,7 @@
         stopping = true;
         long startMillis = nowMillis();
         context.stopMillis(startMillis + timeoutMillis - LAST_ANSWER_MILLIS);
+        context.lateMillis(startMillis + ROTATION_MILLIS);
         LOG.infof(
                 "gateway: Stopping within %d ms, %d requests active",
                 timeoutMillis, context.activeRequests().get());
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
@@ -38,13 +38,18 @@
             return;
         }
         SiteIndex index = context.site();
-        AdmittedRequest admitted;
+        AdmittedRequest unlimited;
         try {
-            admitted = Admission.admit(caller, index).endingBy(context.stopMillis());
+            unlimited = Admission.admit(caller, index);
         } catch (RefusedException e) {
             scope.refuse(e.refusal());
             return;
         }
+        if (caller.beganMillis() >= context.lateMillis() && unlimited.deadlineMillis() > context.stopMillis()) {
+            scope.refuse(RefusalReason.SHUTTING_DOWN);
+            return;
+        }
+        AdmittedRequest admitted = unlimited.endingBy(context.stopMillis());
         scope.trace().admitted(admitted, index.site().version());
         if (admitted.affinity() == null) {
             context.counters().affinityIgnored();
--- a/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
@@ -118,6 +118,7 @@
                 0,
                 -1,
                 "",
+                GatewayNode.nowMillis(),
                 GatewayNode.nowMillis());
     }
 }
--- a/gateway/src/test/java/org/cicadahead/gateway/ProgramTrackerTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/ProgramTrackerTest.java
@@ -38,6 +38,7 @@
                 100,
                 -1,
                 "",
+                0,
                 0);
         SiteRoute route = new SiteRoute(
                 "r",
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -62,6 +62,7 @@
                         0,
                         -1,
                         "",
+                        GatewayNode.nowMillis(),
                         GatewayNode.nowMillis()),
                 second);
         assertThat(second.refusal.reason()).isEqualTo(RefusalReason.ROUTE_UNKNOWN);
@@ -399,4 +400,24 @@
         assertThat(late.refusal.reason().notRun()).isTrue();
         assertThat(endpoints.sent).hasSize(1);
     }
+
+    /**
+     * A request on a connection that its caller has kept open arrives late in a stop. It is refused as not run if its
+     * time limit ends after the stop, and served if not. One whose head arrived earlier is served.
+     */
+    @Test
+    void refusesLateRequestsThatMayOutlastTheStop() {
+        long now = GatewayNode.nowMillis();
+        context.stopMillis(now + 1_500);
+        context.lateMillis(now + 60_000);
+        send("/stream/x");
+        context.lateMillis(now);
+        FakeExchange late = new FakeExchange();
+        RequestFlow.serve(context, GatewayFixture.request("late", "POST", "/stream/x", "k", 2_000), late);
+        RequestFlow.serve(
+                context, GatewayFixture.request("short", "POST", "/stream/x", "k", 1_000), new FakeExchange());
+        assertThat(late.refusal.reason()).isEqualTo(RefusalReason.SHUTTING_DOWN);
+        assertThat(endpoints.sent.stream().map(each -> each.request.caller().attempt()))
+                .containsExactly("attempt", "short");
+    }
 }
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestTraceTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestTraceTest.java
@@ -33,6 +33,7 @@
                 0,
                 lastEventId,
                 resumedAttempt,
+                0,
                 0);
     }
 
