Answer requests that outlast a planned stop

Callers saw: a request that had been passed on before SIGTERM and lasted longer than the grace period found its connection closed without an answer.

Cause: only requests that are admitted during a stop have a deadline before its end. Those admitted earlier were counted as aborted and left to the end of the process.

The count of active requests becomes the set of them; the existing check of RequestFlowTest on the count is now one that the set is empty.

--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
@@ -1,7 +1,8 @@
 package org.cicadahead.gateway;
 
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import org.cicadahead.site.SiteIndex;
 
@@ -21,7 +22,7 @@
     private final int maxActiveRequests;
     private final ResponseMemory responseMemory;
     private final FleetConfirmation fleetConfirmation;
-    private final AtomicInteger activeRequests = new AtomicInteger();
+    private final Set<RequestScope> activeRequests = ConcurrentHashMap.newKeySet();
     private volatile SiteIndex site;
     private volatile long stopMillis = Long.MAX_VALUE;
     private volatile long lateMillis = Long.MAX_VALUE;
@@ -105,10 +106,11 @@
 
     /** Returns whether the number of active requests is below the limit that the heap allows. */
     boolean hasCapacity() {
-        return activeRequests.get() < maxActiveRequests;
+        return activeRequests.size() < maxActiveRequests;
     }
 
-    AtomicInteger activeRequests() {
+    /** Returns the requests that have not ended; a live view. */
+    Set<RequestScope> activeRequests() {
         return activeRequests;
     }
 
--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
@@ -108,7 +108,7 @@
                 timeoutMillis -> watch.confirmCurrent(timeoutMillis));
         metrics.gauge(
                 "gateway.response_bytes", () -> () -> context.responseMemory().usedBytes());
-        metrics.gauge("gateway.active", () -> () -> context.activeRequests().get());
+        metrics.gauge("gateway.active", () -> () -> context.activeRequests().size());
         metrics.gauge("gateway.log_lines_dropped", () -> decisions::dropped);
     }
 
@@ -182,22 +182,23 @@
     }
 
     /**
-     * Continues to serve until the load balancer has noticed the shutdown, then waits for the active requests. The
-     * process must exit at once afterwards, because requests accepted in the meantime are lost.
+     * Continues to serve until the load balancer has noticed the shutdown, then waits for the active requests. Those
+     * that do not end in time are answered.
      */
     @Override
     public void shutdown(long timeoutMillis) {
         stopping = true;
         long startMillis = nowMillis();
-        context.stopMillis(startMillis + timeoutMillis - LAST_ANSWER_MILLIS);
+        long stopMillis = startMillis + timeoutMillis - LAST_ANSWER_MILLIS;
+        context.stopMillis(stopMillis);
         context.lateMillis(startMillis + ROTATION_MILLIS);
         LOG.infof(
                 "gateway: Stopping within %d ms, %d requests active",
-                timeoutMillis, context.activeRequests().get());
+                timeoutMillis, context.activeRequests().size());
         try {
-            while (nowMillis() - startMillis < timeoutMillis
+            while (nowMillis() < stopMillis
                     && (nowMillis() - startMillis < BALANCER_DRAIN_MILLIS
-                            || context.activeRequests().get() > 0)) {
+                            || !context.activeRequests().isEmpty())) {
                 Thread.sleep(DRAIN_POLL_MILLIS);
             }
         } catch (InterruptedException e) {
@@ -205,7 +206,8 @@
         }
         LOG.infof(
                 "gateway: Stopped, %d requests aborted",
-                context.activeRequests().get());
+                context.activeRequests().size());
+        context.activeRequests().forEach(RequestScope::stop);
     }
 
     /** Closes all connections to hubs and stores. Active requests fail. */
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestScope.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestScope.java
@@ -38,7 +38,7 @@
         this.caller = caller;
         this.exchange = exchange;
         this.trace = new RequestTrace(caller);
-        context.activeRequests().incrementAndGet();
+        context.activeRequests().add(this);
         exchange.onDisconnect(this::callerDisconnected);
     }
 
@@ -57,7 +57,8 @@
     /** Schedules the end of the request at its deadline. */
     synchronized void expireAt(long deadlineMillis) {
         long left = Math.max(0, deadlineMillis - context.nowMillis());
-        deadline = context.timer().schedule(this::expire, left, TimeUnit.MILLISECONDS);
+        deadline =
+                context.timer().schedule(() -> expire(RefusalReason.DEADLINE_UNREACHABLE), left, TimeUnit.MILLISECONDS);
     }
 
     /** Enters the next stage; returns false if the request has already ended and the stage must not begin. */
@@ -125,12 +126,17 @@
         refuse(GatewayRefusal.of(reason));
     }
 
-    private void expire() {
+    /** Ends the request because the process is about to end. */
+    void stop() {
+        expire(RefusalReason.SHUTTING_DOWN);
+    }
+
+    private void expire(RefusalReason notRun) {
         Stage current;
         synchronized (this) {
             current = stage;
             boolean ran = current != null && current.mayHaveRun();
-            refuse(ran ? RefusalReason.DEADLINE_EXCEEDED : RefusalReason.DEADLINE_UNREACHABLE);
+            refuse(ran ? RefusalReason.DEADLINE_EXCEEDED : notRun);
         }
         if (current != null) {
             current.cancel();
@@ -160,7 +166,7 @@
         if (deadline != null) {
             deadline.cancel(false);
         }
-        context.activeRequests().decrementAndGet();
+        context.activeRequests().remove(this);
         context.decisions().line(trace.line(outcome, status, tokens, context.nowMillis(), System.currentTimeMillis()));
         return true;
     }
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -270,7 +270,7 @@
         send("/safe/x");
         caller.disconnectAction.run();
         assertThat(endpoints.last().cancelled).isTrue();
-        assertThat(context.activeRequests().get()).isEqualTo(0);
+        assertThat(context.activeRequests()).isEmpty();
         endpoints.last().answer(200, "late");
         assertThat(caller.ended).isFalse();
     }
@@ -420,4 +420,17 @@
         assertThat(endpoints.sent.stream().map(each -> each.request.caller().attempt()))
                 .containsExactly("attempt", "short");
     }
+
+    /** A request that outlasts the stop is answered by what is true: it may have run, or it has not. */
+    @Test
+    void isAnsweredWhenTheProcessStops() {
+        send("/once/x");
+        context.activeRequests().forEach(RequestScope::stop);
+        assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.DEADLINE_EXCEEDED);
+        FakeExchange waiting = new FakeExchange();
+        new RequestScope(context, GatewayFixture.safe("waiting"), waiting);
+        context.activeRequests().forEach(RequestScope::stop);
+        assertThat(waiting.refusal.reason()).isEqualTo(RefusalReason.SHUTTING_DOWN);
+        assertThat(context.activeRequests()).isEmpty();
+    }
 }
