--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayContext.java
@@ -1,7 +1,8 @@
 package org.cicadahead.gateway;
 
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import org.cicadahead.site.SiteIndex;
 
@@ -22,9 +23,10 @@
     private final int maxActiveRequests;
     private final ResponseMemory responseMemory;
     private final FleetConfirmation fleetConfirmation;
-    private final AtomicInteger activeRequests = new AtomicInteger();
+    private final Set<RequestScope> activeRequests = ConcurrentHashMap.newKeySet();
     private volatile SiteIndex site;
     private volatile long stopMillis = Long.MAX_VALUE;
+    private volatile long lateMillis = Long.MAX_VALUE;
 
     GatewayContext(
             EndpointSelector selector,
@@ -109,10 +111,11 @@
 
     /** Returns whether the number of active requests is below the limit that the heap allows. */
     boolean hasCapacity() {
-        return activeRequests.get() < maxActiveRequests;
+        return activeRequests.size() < maxActiveRequests;
     }
 
-    AtomicInteger activeRequests() {
+    /** Returns the requests that have not ended; a live view. */
+    Set<RequestScope> activeRequests() {
         return activeRequests;
     }
 
@@ -125,6 +128,17 @@
         stopMillis = millis;
     }
 
+    /**
+     * Returns the monotonic time from which on only requests are accepted that end before the stop, in milliseconds.
+     */
+    long lateMillis() {
+        return lateMillis;
+    }
+
+    void lateMillis(long millis) {
+        lateMillis = millis;
+    }
+
     /** Returns the current configuration, or null if none has been received. */
     SiteIndex site() {
         return site;
--- a/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
@@ -23,6 +23,9 @@
     private final EventSequence sequence;
     private final long afterEventId;
     private ResponseHead head;
+    /** The head of the response that began the stream; null while the caller has received no event. */
+    private ResponseHead begun;
+
     private long firstEventId = -1;
     private RetryReason fault;
     private boolean started;
@@ -45,6 +48,7 @@
         sequence.beginResponse();
         ResponseRelay next = new ResponseRelay(admitted, sequence, responseMemory.newHolding());
         next.output.writeBytes(output.toByteArray());
+        next.begun = begun;
         return next;
     }
 
@@ -70,10 +74,20 @@
         if (streamStarted && !received.isSuccess()) {
             return RetryReason.FAILED;
         }
+        if (streamStarted && !continuesStream(received)) {
+            return RetryReason.BAD_ANSWER;
+        }
         boolean failed = received.status() >= SERVER_ERROR;
         return failed && attemptsLeft && admitted.route().mayRepeat() ? RetryReason.FAILED : null;
     }
 
+    /** Returns whether a response may be appended to the one that began the stream. */
+    private boolean continuesStream(ResponseHead received) {
+        return begun != null
+                && received.status() == begun.status()
+                && received.mediaType().equals(begun.mediaType());
+    }
+
     /** Processes a chunk of the body; returns the complete events that the caller has not received yet. */
     List<StreamEvent> processData(byte[] chunk) {
         started = true;
@@ -103,6 +117,7 @@
                 output.writeBytes(event.data());
                 output.write('\n');
             }
+            begun = begun == null ? head : begun;
             eventCount++;
             newEvents.add(event);
         }
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -269,7 +269,7 @@
         send("/safe/x");
         caller.disconnectAction.run();
         assertThat(endpoints.last().cancelled).isTrue();
-        assertThat(context.activeRequests().get()).isEqualTo(0);
+        assertThat(context.activeRequests()).isEmpty();
         endpoints.last().answer(200, "late");
         assertThat(caller.ended).isFalse();
     }
@@ -399,4 +399,37 @@
         assertThat(late.refusal.reason().notRun()).isTrue();
         assertThat(endpoints.sent).hasSize(1);
     }
+
+    /**
+     * A request on a connection that its caller has kept open arrives late in a stop. It is refused as not run if its
+     * time limit ends after the stop, and served if not. One whose head arrived earlier is served.
+     */
+    @Test
+    void refusesLateRequestsThatMayOutlastTheStop() {
+        long now = GatewayNode.nowMillis();
+        context.stopMillis(now + 1_500);
+        context.lateMillis(now + 60_000);
+        send("/stream/x");
+        context.lateMillis(now);
+        FakeExchange late = new FakeExchange();
+        RequestFlow.serve(context, GatewayFixture.request("late", "POST", "/stream/x", "k", 2_000), late);
+        RequestFlow.serve(
+                context, GatewayFixture.request("short", "POST", "/stream/x", "k", 1_000), new FakeExchange());
+        assertThat(late.refusal.reason()).isEqualTo(RefusalReason.SHUTTING_DOWN);
+        assertThat(endpoints.sent.stream().map(each -> each.request.caller().attempt()))
+                .containsExactly("attempt", "short");
+    }
+
+    /** A request that outlasts the stop is answered by what is true: it may have run, or it has not. */
+    @Test
+    void isAnsweredWhenTheProcessStops() {
+        send("/once/x");
+        context.activeRequests().forEach(RequestScope::stop);
+        assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.DEADLINE_EXCEEDED);
+        FakeExchange waiting = new FakeExchange();
+        new RequestScope(context, GatewayFixture.safe("waiting"), waiting);
+        context.activeRequests().forEach(RequestScope::stop);
+        assertThat(waiting.refusal.reason()).isEqualTo(RefusalReason.SHUTTING_DOWN);
+        assertThat(context.activeRequests()).isEmpty();
+    }
 }
