Take no lock when a request is reported as written

The thread dump shows a deadlock of two threads that each send a request. The client writes requests that have waited for a connection on the thread that sends another one; since it reports each as written, and the report took the lock of that request's scope while the thread held the lock of the scope that it was sending for. An entry would have lost both threads and all that waits for the two locks.

The report now only stores a value, which the attempt reads under its own lock when it is traced.

RequestFlowTest.theReportThatARequestIsWrittenWaitsForNoLock guards against it.

--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -67,6 +67,7 @@
     private final StreamVersions versions;
     private final Set<String> triedEndpoints = new HashSet<>();
     private ResponseRelay relay;
+    private Listener listener;
     private EndpointSelector.Placement placement;
     private Runnable cancellation;
     private ScheduledFuture<?> firstByteTimeout;
@@ -171,7 +172,8 @@
                 admitted.organisationName(),
                 leftMillis,
                 lastEventId);
-        Runnable cancel = scope.context().endpoints().send(request, new Listener(attempt));
+        listener = new Listener(attempt);
+        Runnable cancel = scope.context().endpoints().send(request, listener);
         if (attempt == currentAttempt && placement != null) {
             cancellation = cancel;
         }
@@ -324,6 +326,10 @@
     }
 
     private void traceAttempt(String outcome, long now) {
+        Writing writing = listener.writing;
+        if (writing != null) {
+            scope.trace().written(writing.millis, writing.timeLeftMillis);
+        }
         scope.trace().attempt(placement.record(), outcome, relay.summary(), sentMillis, now);
     }
 
@@ -392,9 +398,13 @@
         });
     }
 
+    /** The monotonic time at which an attempt was written, and the time limit stated to the endpoint. */
+    private record Writing(long millis, long timeLeftMillis) {}
+
     /** Receives the response to one attempt; ignores callbacks of attempts that were abandoned. */
     private final class Listener implements EndpointListener {
         private final int attempt;
+        private volatile Writing writing;
 
         Listener(int attempt) {
             this.attempt = attempt;
@@ -402,11 +412,8 @@
 
         @Override
         public void written(long timeLeftMillis) {
-            synchronized (scope) {
-                if (isCurrent()) {
-                    scope.trace().written(scope.context().nowMillis(), timeLeftMillis);
-                }
-            }
+            // The client may call this while it sends another request, whose lock the calling thread then holds.
+            writing = new Writing(scope.context().nowMillis(), timeLeftMillis);
         }
 
         @Override
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointListener.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointListener.java
@@ -4,7 +4,8 @@
 public interface EndpointListener {
 
     /**
-     * Called when a connection is available and the request is about to be written to it.
+     * Called when a connection is available and the request is about to be written to it. The calling thread may be
+     * sending another request and hold the locks of its sender, so implementations must take no lock.
      *
      * @param timeLeftMillis the time limit that is stated to the endpoint, in milliseconds
      */
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -432,4 +432,26 @@
         assertThat(waiting.refusal.reason()).isEqualTo(RefusalReason.SHUTTING_DOWN);
         assertThat(context.activeRequests()).isEmpty();
     }
+
+    /**
+     * While the client sends one request it may write another that has waited for a connection. If that took the lock
+     * of the other request, two threads that send could wait for each other for ever.
+     */
+    @Test
+    void theReportThatARequestIsWrittenWaitsForNoLock() throws Exception {
+        CallerRequest request = GatewayFixture.safe("attempt");
+        RequestScope scope = new RequestScope(context, request, caller);
+        EndpointAttempts.start(
+                scope,
+                Admission.admit(request, context.site()),
+                new byte[0],
+                EndpointAttempts.NO_TURN,
+                StreamVersions.any());
+        Thread writer = new Thread(() -> endpoints.last().listener.written(1_000));
+        synchronized (scope) {
+            writer.start();
+            writer.join(5_000);
+            assertThat(writer.isAlive()).isFalse();
+        }
+    }
 }
