Limit the heads of responses of engines and services

What callers would see: an engine or service that sends headers without end fills the heap of the endpoint daemon (32 MB), which ends the requests of all others at this endpoint.

Cause: Jetty's client has no limit on the size of response headers by default, and HttpClients set none; each header is kept until the head ends.

Change: a limit of 32 KiB, as on the platform path. Jetty fails the response and closes the connection at the limit.

--- a/endpoint/src/main/java/org/cicadahead/endpoint/HttpClients.java
+++ b/endpoint/src/main/java/org/cicadahead/endpoint/HttpClients.java
@@ -18,6 +18,9 @@
     private static final int MAX_POOLED_BUFFER_BYTES = 64 * 1024;
     private static final int MAX_POOLED_BUFFERS = 64;
     private static final long MAX_POOLED_BYTES = 2L * 1024 * 1024;
+    /** The maximum size of the status line and headers of a response, in bytes; Jetty sets no limit by default. */
+    private static final int MAX_RESPONSE_HEADER_BYTES = 32 * 1024;
+
     private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
 
     private HttpClients() {}
@@ -39,6 +42,7 @@
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
         client.setRequestBufferSize(BUFFER_BYTES);
         client.setResponseBufferSize(BUFFER_BYTES);
+        client.setMaxResponseHeadersSize(MAX_RESPONSE_HEADER_BYTES);
         client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
         client.setIdleTimeout(0);
         try {
