Read bodies to their end before an entry stops its server

Callers saw: a request whose body paused while the entry stopped in calm found its connection closed.

Cause: a request whose body is being read is not active in the gateway, so that the stop of the server begins. Jetty then gives all connections an idle timeout of 1 s.

Change: the entry first waits until the server handles no request, then refuses further ones, and stops the server when it is idle once more, so that none is left that the idle timeout could cut off.

Evidence: LateInStopTest.servesARequestWhoseBodyEndsAfterTheEntryHasGoneIdle (real process, SIGTERM) failed on ("the connection was closed") and passes now, as do the other four tests of the class.

--- a/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/GatewayNode.java
@@ -183,7 +183,7 @@
 
     /**
      * Continues to serve until the load balancer has noticed the shutdown, then waits for the active requests. Those
-     * that do not end in time are answered.
+     * that do not end in time are answered. Requests are still accepted afterwards, until {@link #refuseRequests}.
      */
     @Override
     public void shutdown(long timeoutMillis) {
@@ -210,6 +210,11 @@
         context.activeRequests().forEach(RequestScope::stop);
     }
 
+    /** Refuses all requests from now on; called when none is left after a shutdown. */
+    public void refuseRequests() {
+        context.stopMillis(nowMillis());
+    }
+
     /** Closes all connections to hubs and stores. Active requests fail. */
     public void close() {
         timer.shutdownNow();
