Treat only a 200 of an engine as a stream of events

Callers saw, on the product path: a stream broke off, and the engine answered the request for the rest with an error whose media type was that of a stream; the text of the error followed the events before the run failed.

Cause: StreamingCall decides by the media type whether a response is a stream, and checks the status only at its end, after its events were passed on.

Change: a response is a stream only with status 200; any other is held as a body.

--- a/endpoint/src/main/java/org/cicadahead/engine/StreamingCall.java
+++ b/endpoint/src/main/java/org/cicadahead/engine/StreamingCall.java
@@ -149,7 +149,7 @@
         }
         Response response = result.getResponse();
         boolean resuming = eventsAtResume >= 0;
-        if (result.isSucceeded() && response.getStatus() == OK && isStream(response)) {
+        if (result.isSucceeded() && isStream(response)) {
             if (splitter.isComplete()) {
                 end(response, EngineBodies.usage(splitter.usageEvent()));
             } else {
@@ -232,8 +232,9 @@
         return finished;
     }
 
+    /** Returns whether a response is a stream of events. An error is none, whatever its media type is. */
     private static boolean isStream(Response response) {
         String type = response.getHeaders().get("Content-Type");
-        return type != null && type.startsWith("text/event-stream");
+        return response.getStatus() == OK && type != null && type.startsWith("text/event-stream");
     }
 }
