Read bodies to their end when the product's entry stops

Callers saw, on the product path: a request whose body paused for a second while its entry stopped was refused with 400, body_incomplete, which tells the caller not to send it again.

Cause: a connector that stops accepting gives its connections an idle timeout of 1 s.

Change: connections keep their idle timeout. The stop waits for open requests, not for connections, so that it takes no longer.

--- a/entry/src/main/java/org/cicadahead/caller/CallerServer.java
+++ b/entry/src/main/java/org/cicadahead/caller/CallerServer.java
@@ -56,6 +56,8 @@
         connector.setHost(listen.getAddress().getHostAddress());
         connector.setPort(listen.getPort());
         connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
+        // Jetty's shorter timeout would cut off bodies that pause when the server stops accepting connections.
+        connector.setShutdownIdleTimeout(IDLE_TIMEOUT_MILLIS);
         server.addConnector(connector);
         CallerHandler handler = new CallerHandler(service, maxBodyBytes);
         server.setHandler(handler);
