--- a/entry/src/test/java/org/cicadahead/caller/CallerServerTest.java
+++ b/entry/src/test/java/org/cicadahead/caller/CallerServerTest.java
@@ -18,6 +18,8 @@
 /** Guards against requests that are cut off because the server stops accepting connections. */
 class CallerServerTest {
     private static final long RUN_MILLIS = 3_000;
+    private static final String HEAD =
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k\r\n" + "Connection: close\r\n";
 
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
     private final CountDownLatch received = new CountDownLatch(1);
@@ -61,8 +63,7 @@
     /** A request in progress that sends nothing for a while is completed. */
     @Test
     void completesASilentRequestAfterItStopsAccepting() throws Exception {
-        try (Socket socket = send(
-                "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}")) {
+        try (Socket socket = send(HEAD + "Content-Length: 2\r\n\r\n{}")) {
             assertThat(received.await(10, TimeUnit.SECONDS)).isTrue();
             server.stopAccepting();
             assertThat(read(socket)).endsWith("done");
@@ -72,9 +73,7 @@
     /** A body that pauses is read to its end. */
     @Test
     void readsABodyThatPausesAfterItStopsAccepting() throws Exception {
-        try (Socket socket =
-                send("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k\r\nConnection: close\r\n"
-                        + "Content-Length: 4\r\n\r\nbo")) {
+        try (Socket socket = send(HEAD + "Content-Length: 4\r\n\r\nbo")) {
             while (server.openRequests() == 0) {
                 Thread.onSpinWait();
             }
