Carry resets over faulty links and let the target's process end

A reset that an endpoint sent arrived at the other side of the link as an orderly close, so that no soak and no case of the fault table could show a response without a length that is reset. The link also accepted connections while the process behind it was down, where a real one refuses them.

The link now resets what was reset, and refuse() ends all connections, in order or by a reset, and refuses further ones until accept().

--- a/testbed/src/main/java/org/cicadahead/testbed/fleet/FaultyLink.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/fleet/FaultyLink.java
@@ -18,8 +18,8 @@
  * A TCP link on the loopback address that can be cut silently in one or both directions and delayed. Safe for use by
  * several threads.
  *
- * <p>A cut keeps connections open and carries nothing, not even a close, as a partitioned network does. After it is
- * healed, what was sent arrives, as TCP sends it again.
+ * <p>Closes and resets are carried as such. A cut keeps connections open and carries nothing, not even a close, as a
+ * partitioned network does. After it is healed, what was sent arrives, as TCP sends it again.
  */
 public final class FaultyLink implements Closeable {
     private static final int BUFFER_BYTES = 16_384;
@@ -36,8 +36,8 @@
         BACKWARD
     }
 
-    private final ServerSocket server;
     private final InetSocketAddress target;
+    private volatile ServerSocket server;
     private final Set<Direction> cuts = ConcurrentHashMap.newKeySet();
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile IntPredicate cutSources = NEVER;
@@ -61,7 +61,7 @@
         try {
             ServerSocket server = new ServerSocket(port, BACKLOG, loopback);
             FaultyLink link = new FaultyLink(server, new InetSocketAddress(loopback, targetPort));
-            link.run("link-accept-" + targetPort, link::accept);
+            link.run("link-accept-" + targetPort, () -> link.accept(server));
             return link;
         } catch (IOException e) {
             throw new FleetException("cannot listen on port " + port, e);
@@ -115,6 +115,34 @@
         delayNanos = TimeUnit.MILLISECONDS.toNanos(millis);
     }
 
+    /**
+     * Ends all connections as the end of the target's process does, and refuses further ones.
+     *
+     * @param reset whether the connections are reset and not closed in order
+     */
+    public void refuse(boolean reset) {
+        closeQuietly(server);
+        for (Socket socket : sockets) {
+            end(socket, reset);
+            sockets.remove(socket);
+        }
+    }
+
+    /**
+     * Accepts connections again after {@link #refuse}.
+     *
+     * @throws FleetException if the port cannot be bound
+     */
+    public void accept() throws FleetException {
+        try {
+            ServerSocket next = new ServerSocket(port(), BACKLOG, InetAddress.getLoopbackAddress());
+            server = next;
+            run("link-accept-" + target.getPort(), () -> accept(next));
+        } catch (IOException e) {
+            throw new FleetException("cannot listen on port " + port() + " again", e);
+        }
+    }
+
     /** Closes the link and its connections. */
     @Override
     public void close() {
@@ -122,6 +150,18 @@
         sockets.forEach(FaultyLink::closeQuietly);
     }
 
+    /** Ends a connection; a reset reaches the other side as such. */
+    private static void end(Socket socket, boolean reset) {
+        try {
+            if (reset) {
+                socket.setSoLinger(true, 0);
+            }
+        } catch (IOException e) {
+            System.getLogger("cicadahead.testbed").log(System.Logger.Level.DEBUG, "a socket is closed already", e);
+        }
+        closeQuietly(socket);
+    }
+
     private static void closeQuietly(Closeable closeable) {
         try {
             closeable.close();
@@ -130,14 +170,14 @@
         }
     }
 
-    private void accept() {
-        while (!server.isClosed()) {
+    private void accept(ServerSocket from) {
+        while (!from.isClosed()) {
             try {
-                Socket near = server.accept();
+                Socket near = from.accept();
                 sockets.add(near);
                 run("link-connect", () -> connect(near));
             } catch (IOException e) {
-                if (!server.isClosed()) {
+                if (!from.isClosed()) {
                     System.getLogger("cicadahead.testbed").log(System.Logger.Level.WARNING, "cannot accept", e);
                 }
             }
@@ -178,8 +218,8 @@
         thread.start();
     }
 
-    /** Bytes and when they are due; no bytes stand for the end of the stream. */
-    private record Chunk(byte[] bytes, long dueNanos) {}
+    /** Bytes and when they are due; no bytes stand for the end of the stream, in order or by a reset. */
+    private record Chunk(byte[] bytes, boolean reset, long dueNanos) {}
 
     /** Carries one direction of one connection. */
     private final class Pump {
@@ -205,15 +245,17 @@
             byte[] buffer = new byte[BUFFER_BYTES];
             try {
                 int count = 0;
+                boolean reset = false;
                 while (count >= 0) {
                     try {
                         count = from.getInputStream().read(buffer);
                     } catch (IOException e) {
                         count = -1;
+                        reset = true;
                     }
                     byte[] bytes = new byte[Math.max(count, 0)];
                     System.arraycopy(buffer, 0, bytes, 0, bytes.length);
-                    queue.put(new Chunk(bytes, System.nanoTime() + delayNanos));
+                    queue.put(new Chunk(bytes, reset, System.nanoTime() + delayNanos));
                 }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
@@ -230,6 +272,7 @@
                     }
                     awaitOpen(direction, sourcePort);
                     if (chunk.bytes.length == 0) {
+                        end(to, chunk.reset);
                         closeBoth(from, to);
                         return;
                     }
--- a/testbed/src/test/java/org/cicadahead/testbed/fleet/FaultyLinkTest.java
+++ b/testbed/src/test/java/org/cicadahead/testbed/fleet/FaultyLinkTest.java
@@ -4,9 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import org.cicadahead.testbed.fleet.FaultyLink.Direction;
 import org.junit.jupiter.api.AfterEach;
@@ -81,6 +83,32 @@
         assertThat(far.getInputStream().read()).isEqualTo(-1);
     }
 
+    /** Guards against a reset that arrives as an orderly close, which ends a response without a length. */
+    @Test
+    void carriesReset() throws IOException {
+        assertArrives(near, far);
+        far.setSoLinger(true, 0);
+        far.close();
+        near.setSoTimeout(ARRIVAL_MILLIS);
+        assertThrows(SocketException.class, () -> near.getInputStream().read());
+    }
+
+    /** Guards against a process that ends but whose port still accepts connections. */
+    @Test
+    void refusesConnectionsUntilAcceptingAgain() throws IOException, FleetException {
+        int port = link.port();
+        assertArrives(near, far);
+        link.refuse(false);
+        near.setSoTimeout(ARRIVAL_MILLIS);
+        assertThat(near.getInputStream().read()).isEqualTo(-1);
+        assertThrows(ConnectException.class, () -> new Socket(InetAddress.getLoopbackAddress(), port).close());
+        link.accept();
+        try (Socket again = new Socket(InetAddress.getLoopbackAddress(), port);
+                Socket accepted = server.accept()) {
+            assertArrives(again, accepted);
+        }
+    }
+
     /** Guards against a delay that is not applied. */
     @Test
     void delays() throws IOException {
