Widen the soak by responses that break off, crashes and budgets

The soak met neither of the faults that users saw on real processes: its endpoints sent streams of four events with a length and broke them off between events only, answered each resumed stream with its rest, and never crashed.

Streams now end by a length, by chunks or by a close; they break off inside an event, between events and after the last one, by a close, a reset or a crash of the endpoint, and their number of events differs. An endpoint at which an entry resumes a stream may answer without events, with an id skipped, from the beginning, with a signed failure or with a rejection. Some heads, bodies, failures and events have no end. Some requests crash the endpoints that run them. Callers spend small budgets of tokens together, and others use their connections to an entry until its process is gone. Groups are stopped at once, processes are stopped while they start, and versions of the configuration come in series.

Streams and turns that a sound entry cuts are reported as calls were. Turns count as requests that may run once. A process that ends by itself, or a planned stop with the code of a failure, is reported. After the faults, the processes stay in touch for 8 s more, so that the retries can be judged.

Changes of existing checks: a cut of a request that a crashed endpoint ran or that the endpoint broke off is the endpoint's; the request limit of an endpoint is judged anew after its crash.

--- a/testbed/src/main/java/org/cicadahead/testbed/soak/ProcessFault.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/ProcessFault.java
@@ -18,7 +18,7 @@
         @Override
         void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
                 throws FleetException, InterruptedException {
-            stopAndRestart(members, downMillis, judge, member -> member.process.terminate());
+            stopAndRestart(members, downMillis, judge, SoakFleet.Member::terminate);
         }
     },
     /** SIGTERM, then the same and SIGHUP again while the process stops, then a start. */
@@ -27,19 +27,40 @@
         void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
                 throws FleetException, InterruptedException {
             stopAndRestart(members, downMillis, judge, member -> {
-                member.process.terminate();
+                member.terminate();
                 Thread.sleep(downMillis / 4);
                 hangUpAndTerminate(member);
             });
         }
     },
+    /** SIGTERM to all processes of the group at the same moment, then starts. */
+    STOP_ALL("stop all beside") {
+        @Override
+        void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
+                throws FleetException, InterruptedException {
+            for (SoakFleet.Member member : members) {
+                member.terminate();
+            }
+            stopAndRestart(members, downMillis, judge, member -> {});
+        }
+    },
+    /** SIGTERM, then a start that is stopped while the process starts, then a start. */
+    STOP_STARTING("stop at its start") {
+        @Override
+        void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
+                throws FleetException, InterruptedException {
+            stopAndRestart(members, downMillis, judge, SoakFleet.Member::terminate);
+            Thread.sleep(downMillis / 2);
+            stopAndRestart(members, downMillis, judge, SoakFleet.Member::terminate);
+        }
+    },
     /** SIGTERM, then SIGKILL before the process has stopped by itself. */
     STOP_AND_KILL("stop and kill") {
         @Override
         void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
                 throws FleetException, InterruptedException {
             for (SoakFleet.Member member : members) {
-                member.process.terminate();
+                member.terminate();
             }
             Thread.sleep(downMillis);
             killAndRestart(members, downMillis, judge);
@@ -51,12 +72,10 @@
         void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
                 throws FleetException, InterruptedException {
             stopAndRestart(members, downMillis, judge, member -> {
-                member.disturbed();
-                member.process.freeze();
-                member.process.terminate();
+                member.freeze();
+                member.terminate();
                 Thread.sleep(downMillis);
-                member.disturbed();
-                member.process.thaw();
+                member.thaw();
             });
         }
     },
@@ -66,13 +85,11 @@
         void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
                 throws FleetException, InterruptedException {
             for (SoakFleet.Member member : members) {
-                member.disturbed();
-                member.process.freeze();
+                member.freeze();
             }
             Thread.sleep(downMillis);
             for (SoakFleet.Member member : members) {
-                member.disturbed();
-                member.process.thaw();
+                member.thaw();
             }
         }
     },
@@ -90,8 +107,7 @@
         void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
                 throws FleetException, InterruptedException {
             for (SoakFleet.Member member : members) {
-                member.disturbed();
-                member.process.kill();
+                member.kill();
                 awaitExit(member, judge);
                 member.loseDisk();
             }
@@ -103,10 +119,10 @@
 
     /** The faults of processes that keep nothing. */
     static final List<ProcessFault> WITHOUT_DISK =
-            List.of(KILL, STOP, STOP_REPEATEDLY, STOP_AND_KILL, STOP_FROZEN, FREEZE, KILL_ALL);
+            List.of(KILL, STOP, STOP_REPEATEDLY, STOP_ALL, STOP_STARTING, STOP_AND_KILL, STOP_FROZEN, FREEZE, KILL_ALL);
 
     /** The faults after which a process has answered every request that it had passed on. */
-    static final List<ProcessFault> PLANNED = List.of(STOP, STOP_REPEATEDLY);
+    static final List<ProcessFault> PLANNED = List.of(STOP, STOP_REPEATEDLY, STOP_ALL, STOP_STARTING);
 
     /** After this time a member that came back empty counts no more as lost, in milliseconds; from the platform. */
     private static final long CATCH_UP_MILLIS = 4_600;
@@ -123,6 +139,11 @@
     abstract void strike(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
             throws FleetException, InterruptedException;
 
+    /** Returns whether the fault strikes all members of a group. */
+    boolean strikesAll() {
+        return this == KILL_ALL || this == STOP_ALL;
+    }
+
     String title() {
         return title;
     }
@@ -138,6 +159,7 @@
         for (SoakFleet.Member member : members) {
             signals.send(member);
             awaitExit(member, judge);
+            member.checkPlannedExit();
         }
         restart(members, downMillis);
     }
@@ -156,8 +178,7 @@
     private static void killAndRestart(List<SoakFleet.Member> members, long downMillis, SoakJudge judge)
             throws FleetException, InterruptedException {
         for (SoakFleet.Member member : members) {
-            member.disturbed();
-            member.process.kill();
+            member.kill();
         }
         for (SoakFleet.Member member : members) {
             awaitExit(member, judge);
@@ -177,7 +198,7 @@
             throws FleetException, InterruptedException {
         if (!member.process.awaitExit(STOP_MILLIS)) {
             judge.violation(member.process.name() + " does not stop within its grace");
-            member.process.kill();
+            member.kill();
             member.process.awaitExit(STOP_MILLIS);
         }
     }
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCommand.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCommand.java
@@ -25,6 +25,15 @@
     private static final int LEAVING_ENDPOINTS = 4;
     /** A run whose seed is a multiple of this disturbs entries by planned stops alone. */
     private static final int CALM_SEEDS = 3;
+    /** The time after the faults in which entries must know the requests that crash endpoints, in milliseconds. */
+    private static final long IN_TOUCH_MILLIS = SoakFleet.CONTACT_MILLIS + 5_000;
+
+    private static final int STEADY_CALLERS = 4;
+    private static final int SPENDERS = 3;
+    private static final long WATCH_MILLIS = 20;
+    /** The delay of a thread after which the soak counts as stalled, in milliseconds. */
+    private static final long STALL_MILLIS = 60;
+
     /** The time without disturbance of an entry after which the check of request limits applies, in milliseconds. */
     private static final long CALM_MILLIS = 8_000;
 
@@ -51,7 +60,7 @@
 
     @Option(
             names = "--endpoints",
-            defaultValue = "4",
+            defaultValue = "8",
             description = "The number of endpoints. Default: ${DEFAULT-VALUE}.")
     private int endpointCount;
 
@@ -71,7 +80,7 @@
         System.out.printf("soak: seed %d, %d s, logs in %s%n", seed, seconds, folder);
         Path jar = Binaries.locate().root().resolve("target").resolve("cicadahead-platform.jar");
         List<SoakEndpoint> endpoints = new ArrayList<>();
-        try (SoakFleet fleet = new SoakFleet(folder, jar, hubs, stores, entries)) {
+        try (SoakFleet fleet = new SoakFleet(folder, jar, hubs, stores, entries, judge)) {
             for (int i = 0; i < endpointCount; i++) {
                 endpoints.add(endpoint(i, fleet));
             }
@@ -106,21 +115,16 @@
 
     private void play(SoakFleet fleet, List<SoakEndpoint> endpoints) throws FleetException, InterruptedException {
         SoakHttp http = SoakHttp.start();
+        judge.coreStable(fleet::isCoreStable);
         SoakOperator operator = new SoakOperator(fleet, http, judge, new Random(seed));
         begin(operator, endpoints);
         List<Thread> threads = new ArrayList<>();
+        SoakClient client = client(fleet, http, endpoints);
         for (int i = 0; i < callers; i++) {
-            threads.add(thread(new SoakCaller(
-                    i,
-                    fleet,
-                    http,
-                    judge,
-                    new Random(seed + i),
-                    calling::get,
-                    (request, name) ->
-                            endpoints.forEach(each -> each.departure().stated(request, name, SoakJudge.now())))));
+            threads.add(thread(new SoakCaller(i, client, new Random(seed + i), calling::get)));
         }
         await("the first program", START_LIMIT_MILLIS, operator, endpoints, () -> judge.servedSoFar() > callers);
+        threads.addAll(startHarmful(fleet, http, endpoints));
         List<Thread> faults = new ArrayList<>();
         List<ProcessFault> all = List.of(ProcessFault.values());
         List<ProcessFault> entryFaults = seed % CALM_SEEDS == 0 ? ProcessFault.PLANNED : ProcessFault.WITHOUT_DISK;
@@ -143,12 +147,58 @@
                 endpoints,
                 () -> judge.servedSoFar() > before + callers);
         await("a read after the faults", RECOVER_LIMIT_MILLIS, operator, endpoints, operator::read);
+        long inTouchUntil = now() + IN_TOUCH_MILLIS;
+        operate(operator, endpoints, () -> now() >= inTouchUntil);
         calling.set(false);
         for (Thread each : threads) {
             each.join();
         }
     }
 
+    private SoakClient client(SoakFleet fleet, SoakHttp http, List<SoakEndpoint> endpoints) {
+        return new SoakClient(
+                fleet,
+                http,
+                judge,
+                (request, name) -> endpoints.forEach(each -> each.departure().stated(request, name, SoakJudge.now())));
+    }
+
+    /** Starts the callers that stay at stopping entries, spend budgets and crash endpoints. */
+    private List<Thread> startHarmful(SoakFleet fleet, SoakHttp http, List<SoakEndpoint> endpoints)
+            throws FleetException {
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < STEADY_CALLERS; i++) {
+            // Each has connections of its own, which no other caller closes.
+            SoakClient own = client(fleet, SoakHttp.start(), endpoints);
+            threads.add(thread(new SoakSteadyCaller(i, own, new Random(seed - i), calling::get)));
+        }
+        SoakClient client = client(fleet, http, endpoints);
+        for (int i = 0; i < SPENDERS; i++) {
+            threads.add(thread(new SoakSpender(i, client, new Random(seed * 31 + i), calling::get)));
+        }
+        for (String route : List.of("plain", "resume", "once")) {
+            threads.add(thread(new SoakCrasher(route, client, new Random(seed + route.hashCode()), calling::get)));
+        }
+        threads.add(thread(() -> watch(fleet)));
+        return threads;
+    }
+
+    /** Reports processes that end by themselves, and times at which the soak itself is not run. */
+    private void watch(SoakFleet fleet) {
+        try {
+            while (calling.get()) {
+                fleet.members().forEach(SoakFleet.Member::checkAlive);
+                long before = now();
+                Thread.sleep(WATCH_MILLIS);
+                if (now() > before + WATCH_MILLIS + STALL_MILLIS) {
+                    judge.stalled(before, now());
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Starts a series of faults; links of endpoints are disturbed if there are no members. */
     private Thread disturb(
             List<SoakFleet.Member> members, List<ProcessFault> kinds, List<SoakEndpoint> endpoints, int series) {
@@ -169,7 +219,7 @@
             endpoints.forEach(operator::heartbeat);
             operator.read();
             if (now() >= changeDue) {
-                operator.change();
+                operator.changeInSeries();
                 changeDue = now() + CHANGE_MILLIS;
             }
             Thread.sleep(HEARTBEAT_MILLIS);
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakDeparture.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakDeparture.java
@@ -21,6 +21,7 @@
     private final SoakJudge judge;
     private final long startMillis = SoakJudge.now();
     private final long firstBornMillis = System.currentTimeMillis();
+    private volatile long restartedMillis;
     /** The times at which callers received the statement, by process of an entry and incarnation of the endpoint. */
     private final Map<String, Long> statedMillis = new ConcurrentHashMap<>();
 
@@ -32,7 +33,13 @@
 
     /** Returns the start time of the present incarnation, in milliseconds since the epoch. */
     long bornMillis(long nowMillis) {
-        return leaves ? firstBornMillis + (nowMillis - startMillis) / PERIOD_MILLIS * PERIOD_MILLIS : firstBornMillis;
+        long periods = leaves ? (nowMillis - startMillis) / PERIOD_MILLIS : 0;
+        return Math.max(restartedMillis, firstBornMillis + periods * PERIOD_MILLIS);
+    }
+
+    /** The endpoint comes back after a crash, at a time in milliseconds since the epoch. */
+    void restarted(long epochMillis) {
+        restartedMillis = epochMillis;
     }
 
     /** Returns whether the endpoint states that it is leaving. */
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFaults.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFaults.java
@@ -45,7 +45,7 @@
             while (running.getAsBoolean()) {
                 Thread.sleep(between(PAUSE_MIN_MILLIS, PAUSE_MAX_MILLIS));
                 if (members.isEmpty()) {
-                    disturb(endpoints.get(random.nextInt(endpoints.size())).link());
+                    disturb(endpoints.get(random.nextInt(endpoints.size())));
                 } else {
                     disturb(members.get(random.nextInt(members.size())));
                 }
@@ -61,15 +61,17 @@
         ProcessFault kind = kinds.get(random.nextInt(kinds.size()));
         int down = between(DOWN_MIN_MILLIS, DOWN_MAX_MILLIS);
         System.out.printf("soak: %s %s for %d ms%n", kind.title(), member.process.name(), down);
-        kind.strike(kind == ProcessFault.KILL_ALL ? members : List.of(member), down, judge);
+        kind.strike(kind.strikesAll() ? members : List.of(member), down, judge);
     }
 
-    private void disturb(FaultyLink link) throws InterruptedException {
+    private void disturb(SoakEndpoint endpoint) throws InterruptedException {
         int down = between(DOWN_MIN_MILLIS, DOWN_MAX_MILLIS);
         int kind = random.nextInt(3);
+        FaultyLink link = endpoint.link();
         System.out.printf(
                 "soak: %s a link for %d ms%n",
                 List.of("cut", "cut answers of", "delay").get(kind), down);
+        endpoint.outages().began(SoakJudge.now());
         switch (kind) {
             case 0 -> link.cut();
             case 1 -> link.cut(FaultyLink.Direction.values()[random.nextInt(FaultyLink.Direction.values().length)]);
@@ -78,6 +80,7 @@
         Thread.sleep(down);
         link.heal();
         link.delay(0);
+        endpoint.outages().ended(SoakJudge.now());
     }
 
     private int between(int min, int max) {
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
@@ -17,9 +17,14 @@
 final class SoakFleet implements Closeable {
     private static final int FIRST_HOST = 11;
     private static final long EXIT_MILLIS = 10_000;
+    /** The time without a disturbance after which processes are in touch, in milliseconds; from the platform. */
+    static final long CONTACT_MILLIS = 3_000;
+    /** The exit codes of a planned stop: of an orderly end and of a JVM that SIGTERM ends. */
+    private static final List<Integer> PLANNED_CODES = List.of(0, 143);
 
     private final Path folder;
     private final Path jar;
+    private final SoakJudge judge;
     private final int entryCount;
     private final int hubCount;
     private final int peerPort = Ports.free();
@@ -37,6 +42,9 @@
         private volatile long disturbedMillis;
         private volatile long bootedLogBytes;
         private volatile int starts;
+        private volatile long touchedMillis;
+        private volatile boolean stopping;
+        private volatile boolean frozen;
 
         Member(String role, int number) {
             this.role = role;
@@ -77,11 +85,63 @@
             }
         }
 
-        void start(boolean first) throws FleetException {
+        synchronized void start(boolean first) throws FleetException {
             writeSettings(first);
             bootedLogBytes = logBytes() + 1;
             starts++;
+            touchedMillis = SoakJudge.now();
             process.start();
+            stopping = false;
+        }
+
+        void kill() throws FleetException {
+            checkAlive();
+            disturbed();
+            stopping = true;
+            process.kill();
+        }
+
+        void terminate() throws FleetException {
+            checkAlive();
+            touchedMillis = SoakJudge.now();
+            if (!stopping || process.isAlive()) {
+                stopping = true;
+                process.terminate();
+            }
+        }
+
+        void freeze() throws FleetException {
+            checkAlive();
+            disturbed();
+            frozen = true;
+            process.freeze();
+        }
+
+        void thaw() throws FleetException {
+            disturbed();
+            process.thaw();
+            frozen = false;
+        }
+
+        /** Reports a process that has ended although nothing from outside has ended it. */
+        void checkAlive() {
+            if (starts > 0 && !stopping && !process.isAlive()) {
+                stopping = true;
+                judge.violation(process.name() + "#" + starts + " ended by itself with code " + process.exitCode());
+            }
+        }
+
+        /** Reports a planned stop that ended with the code of a failure. */
+        void checkPlannedExit() {
+            if (!process.isAlive() && !PLANNED_CODES.contains(process.exitCode())) {
+                judge.violation(
+                        process.name() + "#" + starts + " ended its planned stop with code " + process.exitCode());
+            }
+        }
+
+        /** Returns whether the process has run for the contact time without a start, a stop, a kill or a freeze. */
+        boolean isInTouch(long nowMillis) {
+            return !stopping && !frozen && touchedMillis < nowMillis - CONTACT_MILLIS;
         }
 
         /** Returns how often the process has been started. */
@@ -90,7 +150,7 @@
         }
 
         /** Returns whether the process has not yet logged its first line, so that no code of the role may run yet. */
-        boolean isBooting() {
+        private boolean isBooting() {
             return logBytes() < bootedLogBytes;
         }
 
@@ -98,6 +158,17 @@
             return process.log().toFile().length();
         }
 
+        /**
+         * Writes the settings anew and sends SIGHUP. A JVM that has not yet come to its own code would end at the
+         * signal, as any program does, and is left alone.
+         */
+        synchronized void reload() throws FleetException {
+            if (!isBooting()) {
+                writeSettings(false);
+                process.hangUp();
+            }
+        }
+
         /** Writes the settings anew while the process runs or not. */
         void writeSettings(boolean first) throws FleetException {
             try {
@@ -108,8 +179,9 @@
         }
 
         /** Notes that the process is killed, frozen or thawed now, so that it may lose requests. */
-        void disturbed() {
+        private void disturbed() {
             disturbedMillis = SoakJudge.now();
+            touchedMillis = disturbedMillis;
         }
 
         /** Returns whether the process was neither killed, frozen nor thawed since a time. */
@@ -118,7 +190,8 @@
         }
     }
 
-    SoakFleet(Path folder, Path jar, int hubs, int stores, int entries) throws FleetException {
+    SoakFleet(Path folder, Path jar, int hubs, int stores, int entries, SoakJudge judge) throws FleetException {
+        this.judge = judge;
         this.folder = folder;
         this.jar = jar;
         this.hubCount = hubs;
@@ -142,6 +215,11 @@
         return List.copyOf(members);
     }
 
+    /** Returns whether no hub and no store was disturbed for the contact time. */
+    boolean isCoreStable(long nowMillis) {
+        return members.stream().allMatch(member -> !member.hasDisk() || member.isInTouch(nowMillis));
+    }
+
     /** Returns the address for operators and endpoints of a hub drawn at random. */
     String anyControl(Random random) {
         return role("hub").get(random.nextInt(hubCount)).host + ":" + controlPort;
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakHttp.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakHttp.java
@@ -23,9 +23,10 @@
     /**
      * An answer; status 0 stands for none, or for one that broke off after the body given.
      *
+     * @param begun the status of the head, also of an answer that broke off; 0 if there was none
      * @param leaving the name of the endpoint that states that it is leaving; empty if the answer does not state it
      */
-    record Answer(int status, String body, boolean sealed, String leaving) {}
+    record Answer(int status, int begun, String body, boolean sealed, String leaving) {}
 
     static SoakHttp start() throws FleetException {
         SoakHttp http = new SoakHttp();
@@ -55,6 +56,7 @@
         request.onResponseContent((response, content) -> received.append(StandardCharsets.UTF_8.decode(content)))
                 .send(result -> answer.complete(new Answer(
                         result.isSucceeded() ? result.getResponse().getStatus() : 0,
+                        result.getResponse() == null ? 0 : result.getResponse().getStatus(),
                         received.toString(),
                         result.isSucceeded()
                                 && result.getResponse().getHeaders().contains(WireNames.SIGNATURE),
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakLimit.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakLimit.java
@@ -26,6 +26,8 @@
     private final long startMillis = SoakJudge.now();
     private final Deque<Long> arrivals = new ArrayDeque<>();
     private boolean exceeded;
+    /** The first statement of the limit by an incarnation that is not the first; 0 before, -1 for the first one. */
+    private long statedMillis = -1;
 
     /**
      * Creates a limit.
@@ -40,6 +42,12 @@
         this.entriesCalm = entriesCalm;
     }
 
+    /** The endpoint comes back as another incarnation, whose limit the entries have to adopt again. */
+    synchronized void restarted() {
+        arrivals.clear();
+        statedMillis = 0;
+    }
+
     /** Counts a request and returns the limit that its response states. */
     synchronized Optional<String> requestArrived() {
         long now = SoakJudge.now();
@@ -48,7 +56,10 @@
             arrivals.clear();
             return Optional.empty();
         }
-        if (sinceStart >= ADOPT_MILLIS) {
+        if (statedMillis == 0) {
+            statedMillis = now;
+        }
+        if (sinceStart >= ADOPT_MILLIS && now >= statedMillis + ADOPT_MILLIS) {
             arrivals.add(now);
             while (arrivals.peek() <= now - WINDOW_MILLIS) {
                 arrivals.remove();
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakOperator.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakOperator.java
@@ -8,6 +8,7 @@
 /** The operator and the heartbeats of the endpoints. Used by one thread. */
 final class SoakOperator {
     private static final int OK = 200;
+    private static final int MAX_SERIES = 3;
     private static final Pattern VERSION = Pattern.compile("\\{\"version\":(\\d+),");
 
     private final SoakFleet fleet;
@@ -36,6 +37,13 @@
         return false;
     }
 
+    /** Submits a few versions, each right after the one before. */
+    void changeInSeries() {
+        for (int i = random.nextInt(MAX_SERIES); i >= 0; i--) {
+            change();
+        }
+    }
+
     /** Reads the configuration; an older one than was acknowledged before breaks a promise. */
     boolean read() {
         SoakHttp.Answer answer = http.call("GET", hub(), "/-/config", Map.of(), "");
@@ -52,6 +60,9 @@
 
     /** Sends a heartbeat of an endpoint to a hub; returns whether it was acknowledged. */
     boolean heartbeat(SoakEndpoint endpoint) {
+        if (!endpoint.isUp()) {
+            return false;
+        }
         return http.call("PUT", hub(), "/-/instances/" + endpoint.id(), Map.of(), endpoint.heartbeat(++sequence))
                         .status()
                 == OK;
@@ -63,7 +74,8 @@
 
     private static String document(long number) {
         return "{\"version\":" + number + ",\"routes\":[" + route("turns", "streaming", true) + ","
-                + route("once", "non_idempotent", false) + "," + route("resume", "streaming", false) + ","
+                + route("once", "non_idempotent", false) + "," + route("plain", "idempotent", false) + ","
+                + route("resume", "streaming", false) + ","
                 + route("idle" + number, "idempotent", false)
                 + "],\"services\":[{\"name\":\"soak\",\"health_path\":\"/health\",\"max_connections\":100,"
                 + "\"engine\":{\"slots\":16,\"kv_capacity\":1000,\"stride\":1}}],\"tenants\":[{\"name\":\"o\","
@@ -72,7 +84,8 @@
 
     private static String route(String name, String type, boolean kept) {
         return "{\"name\":\"" + name + "\",\"host\":\"soak.example\",\"path_prefix\":\"/" + name
-                + "/\",\"route_type\":\"" + type + "\",\"timeout_ms\":3000,\"service\":\"soak\",\"max_attempts\":2,"
+                + "/\",\"route_type\":\"" + type + "\",\"timeout_ms\":3000,\"service\":\"soak\",\"max_attempts\":"
+                + SoakRequest.maxAttempts(name) + ","
                 + "\"retain\":" + kept + ",\"resumable\":" + name.equals("resume") + ",\"retention_s\":60.0}";
     }
 }
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakReloads.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakReloads.java
@@ -40,14 +40,9 @@
         }
     }
 
-    /** A JVM that has not yet come to its own code would end at the signal, as any program does. */
     private static void reload(SoakFleet.Member member) {
-        if (member.isBooting()) {
-            return;
-        }
         try {
-            member.writeSettings(false);
-            member.process.hangUp();
+            member.reload();
         } catch (FleetException e) {
             // The process does not run at the moment, so there is nothing to tell it.
         }
