--- a/gateway/src/main/java/org/cicadahead/gateway/CrashTracker.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/CrashTracker.java
@@ -31,29 +31,62 @@
     private static final Logger LOG = Logger.getLogger("cicadahead.gateway");
 
     private final CrashTable table = CrashTable.create();
-    private final List<CrashEvidence> unreported = new ArrayList<>();
+    private final List<Unreported> unreported = new ArrayList<>();
     private boolean reporting;
     private long repeatedMillis = Long.MIN_VALUE;
 
+    /** Evidence that waits to be reported, and the monotonic time since which it does, in milliseconds. */
+    private record Unreported(CrashEvidence evidence, long sinceMillis) {
+
+        CrashEvidence evidenceAt(long nowMillis) {
+            return evidence.olderBy(Math.max(0, nowMillis - sinceMillis));
+        }
+    }
+
     /** Returns how long a request remains in quarantine, in milliseconds; empty if it may be sent. */
     OptionalLong quarantineMillis(AdmittedRequest request, long nowMillis) {
-        return mayHold(request) ? table.quarantineMillis(fingerprint(request), nowMillis) : OptionalLong.empty();
+        OptionalLong longest = OptionalLong.empty();
+        for (RequestFingerprint each : heldFingerprints(request)) {
+            OptionalLong millis = table.quarantineMillis(each, nowMillis);
+            if (millis.isPresent() && millis.getAsLong() > longest.orElse(0)) {
+                longest = millis;
+            }
+        }
+        return longest;
     }
 
-    /** Records that the connection to an endpoint was lost while it ran a request. */
-    void lost(AdmittedRequest request, EndpointRecord endpoint, long nowMillis) {
-        CrashEvidence evidence = new CrashEvidence(fingerprint(request), incarnation(endpoint), false, 0);
-        if (add(evidence, nowMillis)) {
-            report(List.of(evidence));
+    /**
+     * Records that the connection to an endpoint was lost while it ran a request; returns the fingerprint that all
+     * repetitions of the request have in common.
+     */
+    RequestFingerprint lost(AdmittedRequest request, EndpointRecord endpoint, long nowMillis) {
+        List<RequestFingerprint> fingerprints = targets(request).stream()
+                .map(each -> fingerprint(request, each))
+                .toList();
+        for (RequestFingerprint each : fingerprints) {
+            CrashEvidence evidence = new CrashEvidence(each, incarnation(endpoint), false, 0);
+            if (add(evidence, nowMillis)) {
+                report(List.of(evidence), nowMillis);
+            }
         }
+        return fingerprints.get(0);
     }
 
     /** Records a response that proves that an endpoint is alive and ran a request, which thus crashes no endpoints. */
     void answered(AdmittedRequest request, EndpointRecord endpoint, long nowMillis) {
-        if (mayHold(request)) {
-            report(table.refute(fingerprint(request), nowMillis));
+        for (RequestFingerprint each : heldFingerprints(request)) {
+            report(refuted(table.refute(each, nowMillis), "answered", endpoint), nowMillis);
         }
-        report(table.refuteCrash(incarnation(endpoint), nowMillis));
+        report(refuted(table.refuteCrash(incarnation(endpoint), nowMillis), "not down", endpoint), nowMillis);
+    }
+
+    private static List<CrashEvidence> refuted(List<CrashEvidence> evidence, String reason, EndpointRecord endpoint) {
+        for (CrashEvidence each : evidence) {
+            LOG.infof(
+                    "gateway: Requests %s did not crash %s %d ms ago (%s by %s)",
+                    each.request(), each.incarnation(), each.ageMillis(), reason, incarnation(endpoint));
+        }
+        return evidence;
     }
 
     /** Merges the observations of other entries. */
@@ -68,7 +101,7 @@
      * @param nowMillis monotonic time in milliseconds
      */
     void tick(Function<ReportCrashes, CompletableFuture<Done>> hubs, long nowMillis) {
-        List<CrashEvidence> batch;
+        List<Unreported> batch;
         synchronized (this) {
             if (reporting) {
                 return;
@@ -77,7 +110,7 @@
                 repeatedMillis = nowMillis;
                 table.expire(nowMillis);
                 if (unreported.isEmpty()) {
-                    unreported.addAll(table.quarantineEvidence(nowMillis));
+                    addUnreported(table.quarantineEvidence(nowMillis), nowMillis);
                 }
             }
             if (unreported.isEmpty()) {
@@ -87,27 +120,33 @@
             unreported.subList(0, batch.size()).clear();
             reporting = true;
         }
-        hubs.apply(new ReportCrashes(batch)).whenComplete((done, failure) -> reported(batch, failure == null));
+        List<CrashEvidence> evidence =
+                batch.stream().map(each -> each.evidenceAt(nowMillis)).toList();
+        hubs.apply(new ReportCrashes(evidence)).whenComplete((done, failure) -> reported(batch, failure == null));
     }
 
-    private synchronized void reported(List<CrashEvidence> batch, boolean received) {
+    private synchronized void reported(List<Unreported> batch, boolean received) {
         reporting = false;
         if (!received) {
             unreported.addAll(0, batch);
         }
     }
 
-    private void report(List<CrashEvidence> evidence) {
+    private void report(List<CrashEvidence> evidence, long nowMillis) {
         if (evidence.isEmpty()) {
             return;
         }
         synchronized (this) {
             if (unreported.size() < MAX_UNREPORTED) {
-                unreported.addAll(evidence);
+                addUnreported(evidence, nowMillis);
             }
         }
     }
 
+    private void addUnreported(List<CrashEvidence> evidence, long nowMillis) {
+        evidence.forEach(each -> unreported.add(new Unreported(each, nowMillis)));
+    }
+
     private boolean add(CrashEvidence evidence, long nowMillis) {
         RequestFingerprint request = evidence.request();
         boolean wasQuarantined = table.quarantineMillis(request, nowMillis).isPresent();
@@ -121,17 +160,31 @@
         return added;
     }
 
-    private boolean mayHold(AdmittedRequest request) {
-        return table.mayHold(RequestFingerprint.summary(
-                request.caller().target(), request.caller().body().length));
+    /** Returns the fingerprints of a request about which there may be evidence. */
+    private List<RequestFingerprint> heldFingerprints(AdmittedRequest request) {
+        int bodyBytes = request.caller().body().length;
+        return targets(request).stream()
+                .filter(each -> table.mayHold(RequestFingerprint.summary(each, bodyBytes)))
+                .map(each -> fingerprint(request, each))
+                .toList();
+    }
+
+    /**
+     * Returns the targets by which a request is recognised: its path, as the query of a repetition may differ. Without
+     * a body, only the query may distinguish it from requests that are answered; then also its path and query.
+     */
+    private static List<String> targets(AdmittedRequest request) {
+        CallerRequest caller = request.caller();
+        boolean isPathEnough = caller.body().length > 0 || caller.target().equals(caller.path());
+        return isPathEnough ? List.of(caller.path()) : List.of(caller.path(), caller.target());
     }
 
     private static String incarnation(EndpointRecord endpoint) {
         return endpoint.id() + "@" + endpoint.bornMillis();
     }
 
-    private static RequestFingerprint fingerprint(AdmittedRequest request) {
+    private static RequestFingerprint fingerprint(AdmittedRequest request, String target) {
         CallerRequest caller = request.caller();
-        return RequestFingerprint.of(request.organisationName(), caller.method(), caller.target(), caller.body());
+        return RequestFingerprint.of(request.organisationName(), caller.method(), target, caller.body());
     }
 }
--- a/gateway/src/test/java/org/cicadahead/gateway/CrashQuarantineTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/CrashQuarantineTest.java
@@ -153,4 +153,56 @@
         first.context.crashes().tick(report -> receive(report, second), now + 2_000);
         assertThat(reported).hasSize(6);
     }
+
+    /** Evidence that waits for a hub must not seem younger, or a later incarnation refutes it where it is merged. */
+    @Test
+    void reportsTheAgeOfEvidenceThatHasWaited() {
+        crash(first, POISON);
+        long now = GatewayNode.nowMillis();
+        first.context
+                .crashes()
+                .tick(report -> CompletableFuture.failedFuture(new IllegalStateException("no hub")), now);
+        first.context.crashes().tick(report -> receive(report, second), now + 5_000);
+        assertThat(reported).hasSize(2);
+        for (CrashEvidence evidence : reported) {
+            assertThat(evidence.ageMillis()).isAtLeast(5_000L);
+        }
+    }
+
+    /** The query of a repetition may differ, also if the request has no body. */
+    @Test
+    void recognisesARepetitionWithAnotherQuery() {
+        crash(first, POISON);
+        restartEndpoints(first, 1);
+        crash(first, POISON + "?n=1");
+        assertThat(send(first, POISON + "?n=2").refusal.reason()).isEqualTo(RefusalReason.REQUEST_QUARANTINED);
+        assertThat(send(first, POISON).refusal.reason()).isEqualTo(RefusalReason.REQUEST_QUARANTINED);
+    }
+
+    /** Answers to other queries of its path must not let a request through that crashes with its own query. */
+    @Test
+    void isNotClearedByAnswersToOtherQueriesOfItsPath() {
+        crash(first, POISON + "?n=1");
+        send(first, POISON + "?n=2");
+        first.endpoints.last().answer(200, "done");
+        restartEndpoints(first, 1);
+        crash(first, POISON + "?n=1");
+        assertThat(send(first, POISON + "?n=1").refusal.reason()).isEqualTo(RefusalReason.REQUEST_QUARANTINED);
+        assertThat(send(first, POISON + "?n=2").refusal).isNull();
+    }
+
+    /** Endpoints that are lost at once, with different queries of one path, must not put that path into quarantine. */
+    @Test
+    void isClearedByTheRetryOfAnotherQueryOfItsPath() {
+        for (int i = 0; i < 3; i++) {
+            send(first, POISON + "?n=" + i);
+        }
+        for (FakeEndpoints.Sent each : List.copyOf(first.endpoints.sent)) {
+            each.listener.failed(true, "reset");
+        }
+        assertThat(send(first, POISON + "?n=3").refusal.reason()).isEqualTo(RefusalReason.REQUEST_QUARANTINED);
+        restartEndpoints(first, 1);
+        first.endpoints.sent.get(3).answer(200, "done");
+        assertThat(send(first, POISON + "?n=3").refusal).isNull();
+    }
 }
