--- a/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
@@ -6,7 +6,6 @@
 import java.io.StringWriter;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalDouble;
 import org.cicadahead.fleet.EndpointRecord;
 import org.cicadahead.fleet.PriorityClass;
 import org.cicadahead.model.RequestFingerprint;
@@ -28,7 +27,7 @@
     private record Attempt(
             EndpointRecord endpoint,
             String outcome,
-            OptionalDouble requestLimit,
+            ResponseSummary response,
             long beganMillis,
             long endedMillis,
             Writing writing,
@@ -72,8 +71,8 @@
 
     /** Records the end of the current attempt. */
     void attempt(
-            EndpointRecord endpoint, String outcome, OptionalDouble requestLimit, long beganMillis, long endedMillis) {
-        attempts.add(new Attempt(endpoint, outcome, requestLimit, beganMillis, endedMillis, writing, suspect));
+            EndpointRecord endpoint, String outcome, ResponseSummary response, long beganMillis, long endedMillis) {
+        attempts.add(new Attempt(endpoint, outcome, response, beganMillis, endedMillis, writing, suspect));
         writing = Writing.NONE;
         suspect = null;
     }
@@ -116,23 +115,7 @@
             json.writeNumberField("tokens", tokens);
             json.writeArrayFieldStart("attempts");
             for (Attempt each : attempts) {
-                json.writeStartObject();
-                json.writeStringField("endpoint", each.endpoint.id());
-                json.writeStringField("version", each.endpoint.softwareVersion());
-                json.writeStringField("outcome", each.outcome);
-                if (each.requestLimit.isPresent()) {
-                    json.writeNumberField("request_limit", each.requestLimit.getAsDouble());
-                }
-                json.writeNumberField("at_ms", each.beganMillis - caller.receivedMillis());
-                json.writeNumberField("ms", each.endedMillis - each.beganMillis);
-                if (each.writing != Writing.NONE) {
-                    json.writeNumberField("written_ms", each.writing.millis - caller.receivedMillis());
-                    json.writeNumberField("handed_ms", each.writing.timeLeftMillis);
-                }
-                if (each.suspect != null) {
-                    json.writeStringField("suspect", each.suspect.value());
-                }
-                json.writeEndObject();
+                writeAttempt(json, each);
             }
             json.writeEndArray();
             json.writeEndObject();
@@ -141,4 +124,35 @@
         }
         return text.toString();
     }
+
+    private void writeAttempt(JsonGenerator json, Attempt attempt) throws IOException {
+        ResponseSummary response = attempt.response;
+        json.writeStartObject();
+        json.writeStringField("endpoint", attempt.endpoint.id());
+        json.writeStringField("version", attempt.endpoint.softwareVersion());
+        json.writeStringField("outcome", attempt.outcome);
+        if (response.status() != 0) {
+            json.writeNumberField("status", response.status());
+        }
+        if (response.requestLimit().isPresent()) {
+            json.writeNumberField("request_limit", response.requestLimit().getAsDouble());
+        }
+        if (response.part() != null) {
+            json.writeNumberField("after", response.part().after());
+            json.writeNumberField("first", response.part().first());
+            json.writeNumberField("last", response.part().last());
+            json.writeNumberField("events", response.part().events());
+            json.writeNumberField("repeated", response.part().repeated());
+        }
+        json.writeNumberField("at_ms", attempt.beganMillis - caller.receivedMillis());
+        json.writeNumberField("ms", attempt.endedMillis - attempt.beganMillis);
+        if (attempt.writing != Writing.NONE) {
+            json.writeNumberField("written_ms", attempt.writing.millis - caller.receivedMillis());
+            json.writeNumberField("handed_ms", attempt.writing.timeLeftMillis);
+        }
+        if (attempt.suspect != null) {
+            json.writeStringField("suspect", attempt.suspect.value());
+        }
+        json.writeEndObject();
+    }
 }
