--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakBudgets.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakBudgets.java
@@ -16,6 +16,8 @@
 final class SoakBudgets {
     /** The time by which a limit that an endpoint receives may exceed that of the caller, in ms; from the platform. */
     private static final long TIME_MARGIN_MILLIS = 500;
+    /** The least time between two sendings of a request whose endpoint is silent, in milliseconds. */
+    private static final long MIN_RESEND_MILLIS = 400;
     /** The number of requests whose repetition may end that much later than the first, and the share; a day has 20. */
     private static final int ENDED_LATER = 3;
 
@@ -67,7 +69,9 @@
             violations.accept(
                     "an endpoint received a longer time limit than the caller's: " + arrival + ", " + request);
         }
-        if (arrival.atMillis() > first.atMillis() + TIME_MARGIN_MILLIS) {
+        // A much longer time left is that of a request which was sent before the first one and was late on its way.
+        boolean sentBefore = arrival.timeLeftMillis() > first.timeLeftMillis() + MIN_RESEND_MILLIS;
+        if (!sentBefore && arrival.atMillis() > first.atMillis() + TIME_MARGIN_MILLIS) {
             sentAgain.incrementAndGet();
             long latestMillis = Math.max(first.endMillis(), request.sentMillis() + request.limitMillis());
             if (arrival.endMillis() > latestMillis + TIME_MARGIN_MILLIS) {
