Let the engine of StreamingCallTest read whole requests

Both tests of the class failed in one verify of the endpoint module under load: the scripted engine closed connections with unread bytes of the request, so that its response was reset. It reads the whole request now; the checks are unchanged.

--- a/endpoint/src/test/java/org/cicadahead/engine/StreamingCallTest.java
+++ b/endpoint/src/test/java/org/cicadahead/engine/StreamingCallTest.java
@@ -9,10 +9,10 @@
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.TimeUnit;
 import org.cicadahead.model.RunId;
 import org.cicadahead.protocol.Usage;
@@ -27,7 +27,7 @@
     private static final String ERROR = "data: boom\n\n";
     private static final String STREAM = "Content-Type: text/event-stream\r\n";
 
-    private final Deque<String> responses = new ArrayDeque<>();
+    private final Deque<String> responses = new ConcurrentLinkedDeque<>();
     private final HttpClient http = new HttpClient();
     private ServerSocket server;
 
@@ -48,7 +48,7 @@
         Thread thread = new Thread(() -> {
             while (!responses.isEmpty()) {
                 try (Socket socket = server.accept()) {
-                    assertThat(socket.getInputStream().read(new byte[8_192])).isAtLeast(1);
+                    readRequest(socket);
                     socket.getOutputStream().write(responses.poll().getBytes(StandardCharsets.US_ASCII));
                 } catch (IOException e) {
                     return;
@@ -59,8 +59,24 @@
         thread.start();
     }
 
+    /** Reads a whole request, as a connection that is closed with unread bytes would be reset. */
+    private static void readRequest(Socket socket) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = socket.getInputStream().read();
+            assertThat(next).isAtLeast(0);
+            head.append((char) next);
+        }
+        int start = head.indexOf("Content-Length: ");
+        if (start >= 0) {
+            int end = head.indexOf("\r", start);
+            socket.getInputStream().readNBytes(Integer.parseInt(head.substring(start + 16, end)));
+        }
+    }
+
     private static String response(String status, String headers, String text) {
-        return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + text.length() + "\r\n\r\n" + text;
+        return "HTTP/1.1 " + status + "\r\nConnection: close\r\n" + headers + "Content-Length: " + text.length()
+                + "\r\n\r\n" + text;
     }
 
     /** Returns what the listener received: events, a body in brackets, and the end. */
