Join no run that begins anew to a stream

Callers could receive events of two runs in one stream: an endpoint that was asked to go on after an event and sent its run from the first one had the events that the caller has dropped and the rest joined. Its run may have produced other text.

A response that begins at or before the last event of the caller is now a gap: the stream goes on at another endpoint or is reset. Nothing is ever dropped as repeated, so the log field for it goes.

RequestFlowTest.aResumableStreamContinuesAfterTheLastCompleteEvent let the second endpoint repeat the event before, which is the fault itself; its endpoint now sends the rest, and that a repetition is neither joined nor passed on twice is checked by StreamContinuityTest. aResumedStreamMustNotRepeatTheLastEvent, .aResumedStreamMustNotStartAnew and JoinedStreamTest.isBrokenOffIfTheSecondEndpointStartsAnew.

--- a/gateway/src/main/java/org/cicadahead/gateway/EventSequence.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EventSequence.java
@@ -5,9 +5,10 @@
  * Guarded by the lock of the request scope.
  *
  * <p>Ids increase, and nothing else is agreed on. Within one response, the order of events and the distance of their
- * ids are the endpoint's own. Where two responses are joined, the second one must repeat the last event passed on or go
- * on at its successor. The successor is known if all ids so far have the same distance, in this stream or in those that
- * its service has completed. Events without data, such as comments, have no place in the sequence.
+ * ids are the endpoint's own. Where two responses are joined, the second one must go on at the successor of the last
+ * event that the caller has. The successor is known if all ids so far have the same distance, in this stream or in
+ * those that its service has completed. A response that begins earlier is a run of its own, which may differ from the
+ * first one. Events without data, such as comments, have no place in the sequence.
  */
 final class EventSequence {
     /** The distance of ids that is not known yet. */
@@ -21,9 +22,7 @@
     enum Fit {
         /** It follows the last event passed on, as far as can be known. */
         NEXT,
-        /** The caller has received it already. */
-        REPEATED,
-        /** Events between the last one passed on and this one are missing, or its place is unknown. */
+        /** It does not continue what the caller has, or its place is unknown. */
         GAP,
         /** Its id is not above that of the event before it in the same response. */
         OUT_OF_ORDER;
@@ -84,12 +83,7 @@
         if (received != NONE && event.id() <= received) {
             return Fit.OUT_OF_ORDER;
         }
-        boolean continues = received == last || isSuccessor(event.id());
-        if (event.id() <= last) {
-            received = event.id();
-            return Fit.REPEATED;
-        }
-        if (!continues) {
+        if (event.id() <= last || received != last && !isSuccessor(event.id())) {
             return Fit.GAP;
         }
         pass(event.id());
@@ -98,7 +92,7 @@
 
     /** Returns whether the end of the current response is the end of the stream, as far as can be known. */
     boolean isComplete() {
-        return received == NONE ? !joins : received == last;
+        return received != NONE || !joins;
     }
 
     /** Returns the distance of the ids of a complete stream; {@link #UNKNOWN} if one response does not show it. */
@@ -107,14 +101,14 @@
     }
 
     private Fit addUnnumbered() {
-        if (received != last && (received != NONE || joins)) {
-            return received == NONE ? Fit.GAP : Fit.REPEATED;
+        if (received == NONE && joins) {
+            return Fit.GAP;
         }
         hasUnnumbered = true;
         return Fit.NEXT;
     }
 
-    /** Returns whether an id can follow the last one in a response that has not repeated any event. */
+    /** Returns whether an id can follow the last one at the beginning of a response. */
     private boolean isSuccessor(long id) {
         return received == NONE && (distance == UNEVEN || distance == UNKNOWN || id == last + distance);
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
@@ -142,7 +142,6 @@
             json.writeNumberField("first", response.part().first());
             json.writeNumberField("last", response.part().last());
             json.writeNumberField("events", response.part().events());
-            json.writeNumberField("repeated", response.part().repeated());
         }
         json.writeNumberField("at_ms", attempt.beganMillis - caller.receivedMillis());
         json.writeNumberField("ms", attempt.endedMillis - attempt.beganMillis);
--- a/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
@@ -30,7 +30,6 @@
     private RetryReason fault;
     private boolean started;
     private int eventCount;
-    private int repeatedCount;
 
     private ResponseRelay(AdmittedRequest admitted, EventSequence sequence, ResponseMemory.Holding memory) {
         this.admitted = admitted;
@@ -106,10 +105,6 @@
                 fault = fit == EventSequence.Fit.GAP ? RetryReason.GAP : RetryReason.BAD_ANSWER;
                 return newEvents;
             }
-            if (fit == EventSequence.Fit.REPEATED) {
-                repeatedCount++;
-                continue;
-            }
             if (firstEventId < 0) {
                 firstEventId = event.id();
             }
@@ -139,9 +134,8 @@
             return ResponseSummary.NONE;
         }
         long last = firstEventId < 0 ? -1 : sequence.last();
-        ResponseSummary.StreamPart part = isStream()
-                ? new ResponseSummary.StreamPart(afterEventId, firstEventId, last, eventCount, repeatedCount)
-                : null;
+        ResponseSummary.StreamPart part =
+                isStream() ? new ResponseSummary.StreamPart(afterEventId, firstEventId, last, eventCount) : null;
         return new ResponseSummary(head.status(), head.requestLimit(), part);
     }
 
--- a/gateway/src/main/java/org/cicadahead/gateway/ResponseSummary.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ResponseSummary.java
@@ -20,7 +20,6 @@
      * @param first the id of the first event of the response that was passed on
      * @param last the id of the last event of the response that was passed on
      * @param events the number of events of the response that were passed on
-     * @param repeated the number of events of the response that were not passed on, because the caller had them already
      */
-    record StreamPart(long after, long first, long last, int events, int repeated) {}
+    record StreamPart(long after, long first, long last, int events) {}
 }
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -207,7 +207,6 @@
         endpoints.last().listener.failed(true, "reset");
         assertThat(endpoints.last().request.lastEventId()).isEqualTo(1);
         endpoints.last().head(200, true, false);
-        endpoints.last().event(1);
         endpoints.last().event(2);
         endpoints.last().listener.end();
         assertThat(caller.body.toString()).isEqualTo(EVENT_1 + EVENT_2);
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestTraceTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestTraceTest.java
@@ -80,17 +80,17 @@
     @Test
     void namesTheEventsThatEachAttemptAdded() {
         RequestTrace trace = new RequestTrace(request(-1, ""));
-        trace.attempt(endpoint("e1", "v"), "lost", streamed(-1, 1, 3, 3, 0), 1, 3);
-        trace.attempt(endpoint("e2", "v"), "ok", streamed(3, -1, -1, 0, 2), 4, 9);
+        trace.attempt(endpoint("e1", "v"), "lost", streamed(-1, 1, 3, 3), 1, 3);
+        trace.attempt(endpoint("e2", "v"), "ok", streamed(3, -1, -1, 0), 4, 9);
         assertThat(trace.line("streamed", 200, 0, 9, 0))
                 .contains("\"outcome\":\"lost\",\"status\":200,"
-                        + "\"after\":-1,\"first\":1,\"last\":3,\"events\":3,\"repeated\":0,\"at_ms\":1,\"ms\":2},"
+                        + "\"after\":-1,\"first\":1,\"last\":3,\"events\":3,\"at_ms\":1,\"ms\":2},"
                         + "{\"endpoint\":\"e2\",\"version\":\"v\",\"outcome\":\"ok\",\"status\":200,"
-                        + "\"after\":3,\"first\":-1,\"last\":-1,\"events\":0,\"repeated\":2,");
+                        + "\"after\":3,\"first\":-1,\"last\":-1,\"events\":0,");
     }
 
-    private static ResponseSummary streamed(long after, long first, long last, int events, int repeated) {
+    private static ResponseSummary streamed(long after, long first, long last, int events) {
         return new ResponseSummary(
-                200, OptionalDouble.empty(), new ResponseSummary.StreamPart(after, first, last, events, repeated));
+                200, OptionalDouble.empty(), new ResponseSummary.StreamPart(after, first, last, events));
     }
 }
--- a/gateway/src/test/java/org/cicadahead/gateway/StreamContinuityTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/StreamContinuityTest.java
@@ -114,26 +114,37 @@
         assertComplete(events(1, 3, 4, 9));
     }
 
-    /** An endpoint that ignores the last event id repeats the events that the caller has. */
+    /** An endpoint that ignores the last event id begins another run, whose events must not be joined to the first. */
     @Test
-    void aResumedStreamMayStartAnew() {
+    void aResumedStreamMustNotStartAnew() {
         send("/resume/x");
         begin(1, 2);
         breakOff();
         begin(1, 2, 3);
         end();
-        assertComplete(events(1, 2, 3));
+        assertReset(events(1, 2));
     }
 
-    /** A repetition up to the last event shows that no event follows it. */
+    /** A run that begins at the last event of the caller is another run, too. */
     @Test
-    void aRepetitionUpToTheLastEventIsComplete() {
+    void aResumedStreamMustNotRepeatTheLastEvent() {
+        send("/resume/x");
+        begin(1, 2);
+        breakOff();
+        begin(2, 3);
+        end();
+        assertReset(events(1, 2));
+    }
+
+    /** A repetition up to the last event does not show that no event follows it in the stream of the caller. */
+    @Test
+    void aRepetitionUpToTheLastEventIsNotComplete() {
         send("/resume/x");
         begin(1, 2);
         breakOff();
         begin(1, 2);
         end();
-        assertComplete(events(1, 2));
+        assertReset(events(1, 2));
     }
 
     /** A repetition that ends before the last event is not the stream that the caller has begun to read. */
