Suspect no path of losses at once with other queries

Three requests of one path with three queries whose endpoints were lost at once put all queries of the path into quarantine for two minutes, so callers were refused work that crashes nothing. And a request with a body was cleared by the answer to another query of its path with the same body.

A loss is evidence about a path only if its attempt was sent after the last loss of that path was known, which is so for a request that comes again and not for losses at once; the path with its query is suspected in any case. Requests with a body have both fingerprints, too.

What several entries lose at the same moment is still counted together.

--- a/gateway/src/main/java/org/cicadahead/gateway/CrashTracker.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/CrashTracker.java
@@ -59,11 +59,16 @@
      * Records that the connection to an endpoint was lost while it ran a request; returns the fingerprint that all
      * repetitions of the request have in common.
      */
-    RequestFingerprint lost(AdmittedRequest request, EndpointRecord endpoint, long nowMillis) {
+    RequestFingerprint lost(AdmittedRequest request, EndpointRecord endpoint, long sentMillis, long nowMillis) {
         List<RequestFingerprint> fingerprints = targets(request).stream()
                 .map(each -> fingerprint(request, each))
                 .toList();
+        boolean repeats = sentMillis >= table.lastCrashMillis(fingerprints.get(0));
         for (RequestFingerprint each : fingerprints) {
+            if (fingerprints.size() > 1 && each == fingerprints.get(0) && !repeats) {
+                // Requests with other queries that were lost at the same time are no repetitions of each other.
+                continue;
+            }
             CrashEvidence evidence = new CrashEvidence(each, incarnation(endpoint), false, 0);
             if (add(evidence, nowMillis)) {
                 report(List.of(evidence), nowMillis);
@@ -170,13 +175,12 @@
     }
 
     /**
-     * Returns the targets by which a request is recognised: its path, as the query of a repetition may differ. Without
-     * a body, only the query may distinguish it from requests that are answered; then also its path and query.
+     * Returns the targets by which a request is recognised: its path, as the query of a repetition may differ, and its
+     * path and query, as only the query may distinguish it from requests that are answered.
      */
     private static List<String> targets(AdmittedRequest request) {
         CallerRequest caller = request.caller();
-        boolean isPathEnough = caller.body().length > 0 || caller.target().equals(caller.path());
-        return isPathEnough ? List.of(caller.path()) : List.of(caller.path(), caller.target());
+        return caller.target().equals(caller.path()) ? List.of(caller.path()) : List.of(caller.path(), caller.target());
     }
 
     private static String incarnation(EndpointRecord endpoint) {
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -338,7 +338,7 @@
         long now = scope.context().nowMillis();
         placement.failed(reason, now);
         if (reason.mayBeCrash()) {
-            scope.trace().suspected(scope.context().crashes().lost(admitted, placement.record(), now));
+            scope.trace().suspected(scope.context().crashes().lost(admitted, placement.record(), sentMillis, now));
         } else if (reason == RetryReason.FAILED) {
             answered(relay.head(), now);
         }
--- a/gateway/src/main/java/org/cicadahead/quarantine/CrashTable.java
+++ b/gateway/src/main/java/org/cicadahead/quarantine/CrashTable.java
@@ -162,21 +162,30 @@
      * @return the time in milliseconds; empty if the request is not in quarantine
      */
     public synchronized OptionalLong quarantineMillis(RequestFingerprint request, long nowMillis) {
-        Map<String, Crash> known = requests.getOrDefault(request, Map.of());
-        int crashes = countCrashes(known);
+        int crashes = countCrashes(requests.getOrDefault(request, Map.of()));
         if (crashes < QUARANTINE_CRASHES) {
             return OptionalLong.empty();
         }
-        long lastMillis = Long.MIN_VALUE;
-        for (Crash crash : known.values()) {
-            lastMillis = crash.refuted() ? lastMillis : Math.max(lastMillis, crash.atMillis());
-        }
         long durationMillis =
                 Math.min(MAX_QUARANTINE_MILLIS, FIRST_QUARANTINE_MILLIS << (crashes - QUARANTINE_CRASHES));
-        long leftMillis = lastMillis + durationMillis - nowMillis;
+        long leftMillis = lastCrashMillis(request) + durationMillis - nowMillis;
         return leftMillis > 0 ? OptionalLong.of(leftMillis) : OptionalLong.empty();
     }
 
+    /**
+     * Returns the time of the last crash that a request is suspected of.
+     *
+     * @param request the fingerprint of the request
+     * @return the monotonic time in milliseconds; {@link Long#MIN_VALUE} if there is none
+     */
+    public synchronized long lastCrashMillis(RequestFingerprint request) {
+        long lastMillis = Long.MIN_VALUE;
+        for (Crash crash : requests.getOrDefault(request, Map.of()).values()) {
+            lastMillis = crash.refuted() ? lastMillis : Math.max(lastMillis, crash.atMillis());
+        }
+        return lastMillis;
+    }
+
     /**
      * Returns the evidence, for a process that knows none.
      *
