Avoid no endpoint whose response does not continue a stream

Found by the review. An endpoint that truly has no more events after those of a crashed one was avoided for half a second and more, like one that had failed, while the join of the two responses was at fault.

--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointSelector.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointSelector.java
@@ -174,6 +174,9 @@
                     case REJECTED -> endpoint.recordRejection(nowMillis);
                     case WRONG_INSTANCE -> registry.applyHeartbeat(record.withPhase(EndpointPhase.GONE), nowMillis);
                     case FAILED -> endpoint.recordSuccess();
+                    case GAP -> {
+                        // The response may be sound; it only does not continue what another endpoint has begun.
+                    }
                     default -> endpoint.recordFailure(nowMillis);
                 }
             }
