--- a/gateway/src/main/java/org/cicadahead/gateway/AdmittedRequest.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/AdmittedRequest.java
@@ -77,6 +77,11 @@
         return isResumable() && caller.lastEventId() >= 0;
     }
 
+    /** Returns the id of the last event that the caller has, if it resumes a stream of this route; -1 otherwise. */
+    long lastEventId() {
+        return resumesStream() ? caller.lastEventId() : -1;
+    }
+
     boolean keepsTurn() {
         return route.keepsTurns();
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/EventDistances.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EventDistances.java
@@ -16,7 +16,7 @@
     /** Returns the sequence of the stream that a request begins or resumes. */
     EventSequence newSequence(AdmittedRequest request) {
         long distance = byService.getOrDefault(request.service().name(), EventSequence.UNKNOWN);
-        return EventSequence.after(request.caller().lastEventId(), distance);
+        return EventSequence.after(request.lastEventId(), distance);
     }
 
     /** Learns from a stream that is complete. */
