Ignore a fault behind an event that ends the request

Passing an event on may show that the caller is gone, which ends the attempt; if the same chunk also held an event out of order, the attempt was ended again without a placement (NullPointerException in the HTTP client's callback).

--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -456,7 +456,8 @@
                     tokens += relay.tokens(event);
                     scope.chunk(relay.head(), event.bytes());
                 }
-                if (relay.fault() != null) {
+                // Passing events on may have ended the request, if its caller was found to be gone.
+                if (relay.fault() != null && isCurrent()) {
                     retry(relay.fault());
                 }
             }
--- a/gateway/src/test/java/org/cicadahead/gateway/FakeExchange.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/FakeExchange.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.CountDownLatch;
 
 /** A fake exchange that records the response. */
-final class FakeExchange implements CallerExchange {
+class FakeExchange implements CallerExchange {
     final StringBuilder body = new StringBuilder();
     final CountDownLatch refused = new CountDownLatch(1);
     int status;
--- a/gateway/src/test/java/org/cicadahead/gateway/StreamContinuityTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/StreamContinuityTest.java
@@ -290,8 +290,8 @@
         assertReset(events(1, 2));
     }
 
-    private void resume(String attempt, long lastEventId) {
-        CallerRequest plain = GatewayFixture.request(attempt, "POST", "/resume/x", "k", 2_000);
+    private void resume(String path, String attempt, long lastEventId) {
+        CallerRequest plain = GatewayFixture.request(attempt, "POST", path, "k", 2_000);
         CallerRequest resuming = new CallerRequest(
                 plain.attempt(),
                 plain.method(),
@@ -339,7 +339,7 @@
     @Test
     void aGapBehindTheCallersLastEventIsSeenFromOtherStreams() {
         serveOther(1, 2, 3);
-        resume("a", 2);
+        resume("/resume/x", "a", 2);
         begin(4);
         begin(3, 4, 5);
         end();
@@ -352,7 +352,7 @@
     void aServiceThatCountsUnevenlyShowsNoGap() {
         serveOther(1, 2);
         serveOther(10, 20, 25);
-        resume("a", 2);
+        resume("/resume/x", "a", 2);
         begin(4, 5);
         end();
         assertComplete(events(4, 5));
@@ -362,9 +362,49 @@
     @Test
     void aCallerMayResumeAfterTheLastEvent() {
         serveOther(1, 2);
-        resume("a", 2);
+        resume("/resume/x", "a", 2);
         begin();
         end();
         assertComplete("");
     }
+
+    /** On a route whose streams are not resumed, the last event id of a caller says nothing about the response. */
+    @Test
+    void theLastEventIdOfACallerIsIgnoredWhereStreamsAreNotResumed() {
+        resume("/stream/x", "a", 5);
+        begin(1, 2);
+        end();
+        assertComplete(events(1, 2));
+    }
+
+    /** A sound endpoint whose response does not continue what another one began must not be avoided. */
+    @Test
+    void anEndpointIsNotAvoidedForAGap() {
+        send("/resume/x");
+        begin(1, 2);
+        breakOff();
+        begin();
+        end();
+        String instance = endpoints.last().request.instance();
+        for (int i = 0; i < 20; i++) {
+            RequestFlow.serve(gateway.context, GatewayFixture.safe("n" + i), new FakeExchange());
+        }
+        assertThat(endpoints.sent.stream().skip(2).map(each -> each.request.instance()))
+                .contains(instance);
+    }
+
+    /** Passing an event on may show that the caller is gone, and the next event of the same chunk may be a fault. */
+    @Test
+    void aFaultBehindAnEventThatEndsTheRequestIsIgnored() {
+        FakeExchange leaving = new FakeExchange() {
+            @Override
+            public void chunk(byte[] data) {
+                disconnectAction.run();
+            }
+        };
+        RequestFlow.serve(gateway.context, GatewayFixture.request("leaving", "POST", "/resume/x", "k", 2_000), leaving);
+        endpoints.last().head(200, true, false);
+        endpoints.last().data(events(1, 1));
+        assertThat(endpoints.last().cancelled).isTrue();
+    }
 }
