Prefer the stream's own ids over those of its service

Once one endpoint had sent a stream whose ids count unevenly, no gap was seen in any stream of the service at that entry, also where the stream's own ids showed their distance. The distance of the service now only stands in while a stream has shown none.

StreamContinuityTest.aGapIsSeenFromTheStreamsOwnIdsAlthoughItsService CountsUnevenly failed before (the stream was completed behind the gap).

--- a/gateway/src/main/java/org/cicadahead/gateway/EventSequence.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EventSequence.java
@@ -33,17 +33,17 @@
         }
     }
 
+    private final long serviceDistance;
     private long last;
     private long received = NONE;
     private long passedOn = NONE;
     private boolean joins;
     private boolean hasUnnumbered;
-    private long distance;
-    private int distances;
+    private long distance = UNKNOWN;
 
-    private EventSequence(long last, long distance) {
+    private EventSequence(long last, long serviceDistance) {
         this.last = last;
-        this.distance = distance;
+        this.serviceDistance = serviceDistance;
     }
 
     /**
@@ -97,7 +97,7 @@
 
     /** Returns the distance of the ids of a complete stream; {@link #UNKNOWN} if one response does not show it. */
     long distance() {
-        return joins || distances == 0 ? UNKNOWN : distance;
+        return joins ? UNKNOWN : distance;
     }
 
     private Fit addUnnumbered() {
@@ -110,13 +110,13 @@
 
     /** Returns whether an id can follow the last one at the beginning of a response. */
     private boolean isSuccessor(long id) {
-        return received == NONE && (distance == UNEVEN || distance == UNKNOWN || id == last + distance);
+        long expected = distance == UNKNOWN ? serviceDistance : distance;
+        return received == NONE && (expected == UNEVEN || expected == UNKNOWN || id == last + expected);
     }
 
     private void pass(long id) {
         if (passedOn != NONE) {
             distance = distance == UNKNOWN || distance == id - last ? id - last : UNEVEN;
-            distances++;
         }
         last = id;
         received = id;
--- a/gateway/src/test/java/org/cicadahead/gateway/StreamContinuityTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/StreamContinuityTest.java
@@ -407,4 +407,16 @@
         endpoints.last().data(events(1, 1));
         assertThat(endpoints.last().cancelled).isTrue();
     }
+
+    /** One endpoint that counts unevenly must not hide the gaps of streams that show their own distance. */
+    @Test
+    void aGapIsSeenFromTheStreamsOwnIdsAlthoughItsServiceCountsUnevenly() {
+        serveOther(10, 20, 25);
+        send("/resume/x");
+        begin(1, 2);
+        breakOff();
+        begin(4);
+        end();
+        assertReset(events(1, 2));
+    }
 }
