Complete no resumed stream with an empty response behind a lost one

The entry took an empty response for the end unless it had passed on an event itself.

A further response to a caller that has events joins two responses as well. StreamContinuityTest.anEmptyResponseBehindOneThatBrokeOffIsNotComplete failed before. An empty response of the first endpoint is still passed on, as nothing contradicts it.

--- a/gateway/src/main/java/org/cicadahead/gateway/EventSequence.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EventSequence.java
@@ -58,7 +58,7 @@
 
     /** Begins a further response of the stream. */
     void beginResponse() {
-        joins = passedOn != NONE;
+        joins = last != NONE;
         received = NONE;
     }
 
--- a/gateway/src/test/java/org/cicadahead/gateway/StreamContinuityTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/StreamContinuityTest.java
@@ -408,6 +408,18 @@
         assertThat(endpoints.last().cancelled).isTrue();
     }
 
+    /** After a response to a caller's resumption that broke off, an empty one does not show that nothing was left. */
+    @Test
+    void anEmptyResponseBehindOneThatBrokeOffIsNotComplete() {
+        resume("/resume/x", "a", 2);
+        begin();
+        breakOff();
+        begin();
+        end();
+        assertThat(caller.ended).isFalse();
+        assertThat(caller.refusal.reason().notRun()).isFalse();
+    }
+
     /** One endpoint that counts unevenly must not hide the gaps of streams that show their own distance. */
     @Test
     void aGapIsSeenFromTheStreamsOwnIdsAlthoughItsServiceCountsUnevenly() {
