--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakBudgets.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakBudgets.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.LongPredicate;
 
 /**
  * Checks that requests reach no more endpoints, with no more time, and cost no more tokens than allowed. Thread-safe.
@@ -40,6 +41,7 @@
     private final SoakOutages stalls = new SoakOutages();
 
     private final Consumer<String> violations;
+    private volatile LongPredicate knowledgeLostSince = millis -> false;
 
     /** The endpoints that a request has crashed, and the retries that reached endpoints afterwards. */
     private static final class Crashes {
@@ -51,6 +53,11 @@
         this.violations = violations;
     }
 
+    /** Sets how to tell whether all hubs and entries may have lost what they knew at a monotonic time. */
+    void knowledgeLostSince(LongPredicate lost) {
+        knowledgeLostSince = lost;
+    }
+
     /** The threads of the soak did not run in a span of monotonic milliseconds. */
     void stalled(long fromMillis, long toMillis) {
         stalls.began(fromMillis);
@@ -110,8 +117,10 @@
             Crashes known = crashes.get(path);
             known.retries.add(request + " to " + arrival);
             if (known.retries.size() == RETRIES + 1) {
+                boolean lost = knowledgeLostSince.test(known.atMillis.get(CRASHES - 1));
                 violations.accept("a request that crashes endpoints reached " + known.retries.size()
-                        + " after the contact time: " + path + ", crashes at " + known.atMillis + ", " + known.retries);
+                        + " after the contact time" + (lost ? " and restarts of all hubs and entries" : "") + ": "
+                        + path + ", crashes at " + known.atMillis + ", " + known.retries);
             }
         }
     }
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCommand.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCommand.java
@@ -126,6 +126,7 @@
     private void play(SoakFleet fleet, List<SoakEndpoint> endpoints) throws FleetException, InterruptedException {
         SoakHttp http = SoakHttp.start();
         judge.coreStable(fleet::isCoreStable);
+        judge.knowledgeLostSince(fleet::isKnowledgeLostSince);
         SoakOperator operator = new SoakOperator(fleet, http, judge, new Random(seed));
         begin(operator, endpoints);
         List<Thread> threads = new ArrayList<>();
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakFleet.java
@@ -215,6 +215,13 @@
         return List.copyOf(members);
     }
 
+    /** Returns whether each hub and each entry was started again, stopped, killed or frozen since a time. */
+    boolean isKnowledgeLostSince(long millis) {
+        return members.stream()
+                .filter(member -> !member.role.equals("store"))
+                .allMatch(member -> member.touchedMillis >= millis);
+    }
+
     /** Returns whether no hub and no store was disturbed for the contact time. */
     boolean isCoreStable(long nowMillis) {
         return members.stream().allMatch(member -> !member.hasDisk() || member.isInTouch(nowMillis));
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakJudge.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakJudge.java
@@ -35,6 +35,11 @@
         coreStable = stable;
     }
 
+    /** Sets how to tell whether all hubs and entries may have lost what they knew at a time. */
+    void knowledgeLostSince(LongPredicate lost) {
+        budgets.knowledgeLostSince(lost);
+    }
+
     /** The threads of the soak did not run in a span. */
     void stalled(long fromMillis, long toMillis) {
         budgets.stalled(fromMillis, toMillis);
