--- a/endpoint/src/main/java/org/cicadahead/engine/EventSplitter.java
+++ b/endpoint/src/main/java/org/cicadahead/engine/EventSplitter.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /** Splits a stream of server-sent events into complete events. Not thread-safe. */
 final class EventSplitter {
@@ -39,8 +40,7 @@
         if (buffer.length - start > MAX_EVENT_BYTES) {
             throw new EngineException(EngineException.Kind.MALFORMED, "an event of the stream is too large", null);
         }
-        partialEvent =
-                start == buffer.length ? new byte[0] : java.util.Arrays.copyOfRange(buffer, start, buffer.length);
+        partialEvent = start == buffer.length ? new byte[0] : Arrays.copyOfRange(buffer, start, buffer.length);
         totalEvents += lastEvents;
         return events.toByteArray();
     }
@@ -74,7 +74,7 @@
         if (indexOf(buffer, start, end, USAGE) < 0) {
             return;
         }
-        byte[] event = java.util.Arrays.copyOfRange(buffer, start, end);
+        byte[] event = Arrays.copyOfRange(buffer, start, end);
         if (EngineBodies.usage(event) != null) {
             usageEvent = event;
         }
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -326,10 +326,7 @@
     }
 
     private void traceAttempt(String outcome, long now) {
-        Writing writing = listener.writing;
-        if (writing != null) {
-            scope.trace().written(writing.millis, writing.timeLeftMillis);
-        }
+        scope.trace().written(listener.writing);
         scope.trace().attempt(placement.record(), outcome, relay.summary(), sentMillis, now);
     }
 
@@ -398,13 +395,10 @@
         });
     }
 
-    /** The monotonic time at which an attempt was written, and the time limit stated to the endpoint. */
-    private record Writing(long millis, long timeLeftMillis) {}
-
     /** Receives the response to one attempt; ignores callbacks of attempts that were abandoned. */
     private final class Listener implements EndpointListener {
         private final int attempt;
-        private volatile Writing writing;
+        private volatile RequestTrace.Writing writing = RequestTrace.Writing.NONE;
 
         Listener(int attempt) {
             this.attempt = attempt;
@@ -413,7 +407,7 @@
         @Override
         public void written(long timeLeftMillis) {
             // The client may call this while it sends another request, whose lock the calling thread then holds.
-            writing = new Writing(scope.context().nowMillis(), timeLeftMillis);
+            writing = new RequestTrace.Writing(scope.context().nowMillis(), timeLeftMillis);
         }
 
         @Override
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestFlow.java
@@ -38,18 +38,18 @@
             return;
         }
         SiteIndex index = context.site();
-        AdmittedRequest unlimited;
+        AdmittedRequest matched;
         try {
-            unlimited = Admission.admit(caller, index);
+            matched = Admission.admit(caller, index);
         } catch (RefusedException e) {
             scope.refuse(e.refusal());
             return;
         }
-        if (caller.receivedMillis() >= context.lateMillis() && unlimited.deadlineMillis() > context.stopMillis()) {
+        if (caller.receivedMillis() >= context.lateMillis() && matched.deadlineMillis() > context.stopMillis()) {
             scope.refuse(RefusalReason.SHUTTING_DOWN);
             return;
         }
-        AdmittedRequest admitted = unlimited.endingBy(context.stopMillis());
+        AdmittedRequest admitted = matched.endingBy(context.stopMillis());
         scope.trace().admitted(admitted, index.site().version());
         if (admitted.affinity() == null) {
             context.counters().affinityIgnored();
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestTrace.java
@@ -34,7 +34,7 @@
             RequestFingerprint suspect) {}
 
     /** The time at which an attempt was written to its connection, and the time limit stated to the endpoint. */
-    private record Writing(long millis, long timeLeftMillis) {
+    record Writing(long millis, long timeLeftMillis) {
         static final Writing NONE = new Writing(-1, -1);
     }
 
@@ -59,9 +59,9 @@
         openedAfterMillis = nowMillis - caller.receivedMillis();
     }
 
-    /** Records that the current attempt is written to a connection. */
-    void written(long nowMillis, long timeLeftMillis) {
-        writing = new Writing(nowMillis, timeLeftMillis);
+    /** Records when the current attempt was written to a connection. */
+    void written(Writing each) {
+        writing = each;
     }
 
     /** Records that the current attempt is evidence that requests with a fingerprint crash endpoints. */
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestTraceTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestTraceTest.java
@@ -59,7 +59,7 @@
     void namesTheTimeHandedOnAndTheFingerprintOfASuspect() {
         RequestFingerprint suspect = RequestFingerprint.of("o", "GET", "/", new byte[0]);
         RequestTrace trace = new RequestTrace(request(-1, ""));
-        trace.written(700, 2_300);
+        trace.written(new RequestTrace.Writing(700, 2_300));
         trace.suspected(suspect);
         trace.attempt(endpoint("e1", "v1"), "lost", ResponseSummary.NONE, 1, 703);
         trace.attempt(endpoint("e2", "v1"), "not_sent", ResponseSummary.NONE, 703, 704);
