Pass no gap on behind the only event of a stream

With one event and no complete stream of the service, the distance of ids was unknown and any id was taken for the successor.

While nothing shows the distance, only the next integer is accepted where the entry joins two responses, as no other id lies between. A stream with other distances is reset there instead and resumed by its caller, until the entry has completed one of the service.

StreamContinuityTest, RequestFlowTest and StreamVersionsTest passed (one run).

--- a/gateway/src/main/java/org/cicadahead/gateway/EventSequence.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EventSequence.java
@@ -7,8 +7,9 @@
  * <p>Ids increase, and nothing else is agreed on. Within one response, the order of events and the distance of their
  * ids are the endpoint's own. Where two responses are joined, the second one must go on at the successor of the last
  * event that the caller has. The successor is known if all ids so far have the same distance, in this stream or in
- * those that its service has completed. A response that begins earlier is a run of its own, which may differ from the
- * first one. Events without data, such as comments, have no place in the sequence.
+ * those that its service has completed; while they show none, only the next integer is certain to be it. A response
+ * that begins earlier is a run of its own, which may differ from the first one. Events without data, such as comments,
+ * have no place in the sequence.
  */
 final class EventSequence {
     /** The distance of ids that is not known yet. */
@@ -110,8 +111,15 @@
 
     /** Returns whether an id can follow the last one at the beginning of a response. */
     private boolean isSuccessor(long id) {
+        if (received != NONE) {
+            return false;
+        }
+        if (joins && distance == UNKNOWN && serviceDistance <= UNEVEN) {
+            // No other id lies between these two.
+            return id == last + 1;
+        }
         long expected = distance == UNKNOWN ? serviceDistance : distance;
-        return received == NONE && (expected == UNEVEN || expected == UNKNOWN || id == last + expected);
+        return expected <= UNEVEN || id == last + expected;
     }
 
     private void pass(long id) {
--- a/gateway/src/test/java/org/cicadahead/gateway/StreamContinuityTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/StreamContinuityTest.java
@@ -431,4 +431,15 @@
         end();
         assertReset(events(1, 2));
     }
+
+    /** Behind a single event, and before a stream of the service was complete, nothing shows the distance of ids. */
+    @Test
+    void aGapBehindTheOnlyEventOfTheFirstStreamIsNotPassedOn() {
+        send("/resume/x");
+        begin(1);
+        breakOff();
+        begin(3, 4);
+        end();
+        assertReset(events(1));
+    }
 }
