Pass on no status that says a request that ran did not run

Callers saw: an endpoint ran a request that may not be repeated and answered 503 without stating that it had not run it.

Cause: ResponseRelay.checkHead passes failures on as they are where the route may not repeat. It decides by the header of the endpoint whether the request ran, callers by the status.

Change: on such routes 408, 421, 429 and 503 without the header end the attempt, and the caller gets 502, which promises nothing.

Evidence: RequestFlowTest. aRequestThatRanIsNotReportedAsNotRunByTheStatusOfItsEndpoint failed before (the endpoint's answer was passed on, no refusal) and passes now.

--- a/gateway/src/main/java/org/cicadahead/gateway/ResponseHead.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ResponseHead.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.OptionalDouble;
+import java.util.Set;
 
 /**
  * The status and headers of an endpoint's response. Immutable.
@@ -26,6 +27,8 @@
         boolean leaving) {
     private static final int OK = 200;
     private static final int REDIRECT = 300;
+    /** Request timeout, misdirected request, too many requests, service unavailable. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
     /** Copies the list of headers. */
     public ResponseHead {
@@ -48,6 +51,16 @@
         return "";
     }
 
+    /**
+     * Returns whether a caller concludes from the status alone that its request did not run. An endpoint may use such a
+     * status for a request that it has run; only {@link #notRun()} tells.
+     *
+     * @return true for 408, 421, 429 and 503
+     */
+    public boolean impliesNotRun() {
+        return NOT_RUN_STATUSES.contains(status);
+    }
+
     /**
      * Returns whether the status is a success.
      *
--- a/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/ResponseRelay.java
@@ -76,8 +76,11 @@
         if (streamStarted && !continuesStream(received)) {
             return RetryReason.BAD_ANSWER;
         }
-        boolean failed = received.status() >= SERVER_ERROR;
-        return failed && attemptsLeft && admitted.route().mayRepeat() ? RetryReason.FAILED : null;
+        if (!admitted.route().mayRepeat()) {
+            // The caller would send the request again, although the endpoint has run it.
+            return received.impliesNotRun() ? RetryReason.FAILED : null;
+        }
+        return received.status() >= SERVER_ERROR && attemptsLeft ? RetryReason.FAILED : null;
     }
 
     /** Returns whether a response may be appended to the one that began the stream. */
--- a/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RetryReason.java
@@ -18,7 +18,10 @@
     INCOMPLETE(true, false),
     /** The events of the response do not continue the stream that the caller has begun to read, or not to its end. */
     GAP(true, false),
-    /** The endpoint responded with a server error, or with any error to a stream that was to be resumed there. */
+    /**
+     * The endpoint responded with a server error, with any error to a stream that was to be resumed there, or with a
+     * status from which callers conclude that a request that may not be repeated did not run.
+     */
     FAILED(true, true),
     /** The endpoint did not send the first byte of its response in time. */
     SLOW(true, false),
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -139,6 +139,25 @@
         assertThat(caller.refusal.reason().notRun()).isFalse();
     }
 
+    /**
+     * An endpoint that ran a request may answer with a status that promises the opposite. Its caller would repeat the
+     * request, so that the status must not be passed on.
+     */
+    @Test
+    void aRequestThatRanIsNotReportedAsNotRunByTheStatusOfItsEndpoint() {
+        for (int status : List.of(408, 429, 503)) {
+            for (String path : List.of("/once/x", "/stream/x")) {
+                FakeExchange each = new FakeExchange();
+                RequestFlow.serve(context, GatewayFixture.request("a" + status + path, "POST", path, "k", 2_000), each);
+                int sends = endpoints.sent.size();
+                endpoints.last().answer(status, "failed");
+                assertThat(each.refusal.reason()).isEqualTo(RefusalReason.ENDPOINT_LOST);
+                assertThat(each.body.toString()).isEmpty();
+                assertThat(endpoints.sent).hasSize(sends);
+            }
+        }
+    }
+
     /** A request that was not sent because no connection could be opened must be retried, not reported as lost. */
     @Test
     void aRequestThatWasNeverSentGoesToAnotherEndpoint() {
