Give up no slow endpoint to which there is no alternative

Callers saw: 502 for a request that its endpoint was running, after a third of the request's time, although the endpoint would have answered in time and no other endpoint could take the request over.

Cause: the timeout for the first byte ended the attempt before it was known whether another endpoint is available.

The deadline of the request is unchanged.

--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -180,12 +180,15 @@
         if (repeatable && possibleRuns < admitted.route().maxAttempts()) {
             long timeoutMillis =
                     Math.max(MIN_FIRST_BYTE_TIMEOUT_MILLIS, (long) (leftMillis * FIRST_BYTE_TIMEOUT_FRACTION));
-            firstByteTimeout = scope.context()
-                    .timer()
-                    .schedule(() -> firstByteTimedOut(attempt), timeoutMillis, TimeUnit.MILLISECONDS);
+            scheduleFirstByteCheck(attempt, timeoutMillis);
         }
     }
 
+    private void scheduleFirstByteCheck(int attempt, long delayMillis) {
+        firstByteTimeout =
+                scope.context().timer().schedule(() -> firstByteTimedOut(attempt), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Sends a stream that has not begun to the best endpoint of any version, and records its version before if need be.
      */
@@ -260,10 +263,19 @@
         scope.refuse(new GatewayRefusal(reason, reason.notRun() ? retryAfterMillis : 0));
     }
 
+    /** Retries a slow request at another endpoint. If there is none, the slow one may still respond in time. */
     private void firstByteTimedOut(int attempt) {
         synchronized (scope) {
-            if (attempt == currentAttempt && placement != null && !relay.hasStarted() && !scope.isDone()) {
+            if (attempt != currentAttempt || placement == null || relay.hasStarted() || scope.isDone()) {
+                return;
+            }
+            Optional<String> other = scope.context()
+                    .selector()
+                    .likelyVersion(admitted, triedEndpoints, scope.context().nowMillis());
+            if (other.isPresent()) {
                 retry(RetryReason.SLOW);
+            } else {
+                scheduleFirstByteCheck(attempt, MIN_FIRST_BYTE_TIMEOUT_MILLIS);
             }
         }
     }
--- a/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
@@ -27,6 +27,7 @@
 /** An entry with three scripted endpoints of one service, and a route for each kind of request. */
 final class GatewayFixture {
     static final int MAX_ACTIVE = 12;
+    private static final List<String> ENDPOINTS = List.of("a", "b", "c");
     private static final long MAX_RESPONSE_BYTES = 100_000;
 
     /** The delays with which tasks were given to the timer, in milliseconds. */
@@ -74,10 +75,18 @@
                 List.of(new SiteService("s", "/health", 10, null)),
                 List.of(organisation),
                 CallerLimits.STANDARD)));
-        List<EndpointRecord> ready = List.of("a", "b", "c").stream()
-                .map(id -> new EndpointRecord(id, 0, 1, "s", id + ":1", "z", 4, EndpointPhase.READY, 0, ""))
-                .toList();
-        selector.applyUpdate(new FleetUpdate(null, ready, null, null, "", null, null), GatewayNode.nowMillis());
+        ENDPOINTS.forEach(id -> report(id, 1, EndpointPhase.READY));
+    }
+
+    /** Reports all endpoints but one as gone. */
+    void leaveOnly(String instance) {
+        ENDPOINTS.stream().filter(id -> !id.equals(instance)).forEach(id -> report(id, 2, EndpointPhase.GONE));
+    }
+
+    private void report(String id, long sequence, EndpointPhase phase) {
+        EndpointRecord heartbeat = new EndpointRecord(id, 0, sequence, "s", id + ":1", "z", 4, phase, 0, "");
+        selector.applyUpdate(
+                new FleetUpdate(null, List.of(heartbeat), null, null, "", null, null), GatewayNode.nowMillis());
     }
 
     private static SiteRoute route(String prefix, Repetition repetition, boolean resumable) {
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -302,6 +302,17 @@
         assertThat(endpoints.last().cancelled).isTrue();
     }
 
+    /** A slow endpoint to which there is no alternative must not be given up: its response may come in time. */
+    @Test
+    void aLateFirstByteOfTheOnlyEndpointIsPassedOn() throws InterruptedException {
+        send("/safe/x", "k", 3_000);
+        gateway.leaveOnly(endpoints.last().request.instance());
+        assertThat(caller.refused.await(1_200, TimeUnit.MILLISECONDS)).isFalse();
+        endpoints.last().answer(200, "late");
+        assertThat(caller.body.toString()).isEqualTo("late");
+        assertThat(endpoints.sent).hasSize(1);
+    }
+
     /** A request must be refused at once when all endpoints are full, not only at its deadline. */
     @Test
     void isRefusedAtOnceWhenAllEndpointsAreFull() {
