Deliver no failure of an engine as a complete stream

Callers saw, on the product's own path: an engine that answered the request for a stream with 400 and a text with a blank line reached its caller as 200, the text and [DONE]; with a blank line inside, the rest of the text was lost.

Cause: EventStreamCollector passed on each block that ends with a blank line before the status of the run was known, and RequestFlow.deliver ends a stream that has begun whatever the status is. Found by the review of its trace.

Change: blocks are kept until one holds an event of a completion, and a run that ends with a failure behind events is refused with answer_incomplete.

A stream to a caller that closes its connection had neither length nor chunks, so that only the missing [DONE] showed that it broke off; it is sent in chunks now, as on the platform path.

--- a/entry/src/main/java/org/cicadahead/caller/JettyCallerResponse.java
+++ b/entry/src/main/java/org/cicadahead/caller/JettyCallerResponse.java
@@ -105,6 +105,9 @@
                 setHeader("Cicadahead-Request", id.value());
                 setHeader(HttpHeader.CONTENT_TYPE.asString(), "text/event-stream");
                 setHeader(HttpHeader.CACHE_CONTROL.asString(), "no-store");
+                // On a connection that is to be closed, Jetty would let the end of the connection end the body, so that
+                // a stream that breaks off would look complete.
+                setHeader(HttpHeader.TRANSFER_ENCODING.asString(), "chunked");
             }
             pendingWrites.add(new Write(events, false));
         }
--- a/entry/src/main/java/org/cicadahead/entry/EndpointRun.java
+++ b/entry/src/main/java/org/cicadahead/entry/EndpointRun.java
@@ -25,6 +25,7 @@
     private final RunListener listener;
     private PeerCall call;
     private long nextSequence;
+    private boolean relayed;
     private boolean ended;
 
     /**
@@ -139,6 +140,7 @@
         try {
             byte[] events = collector.accept(chunk.data());
             if (events.length > 0) {
+                relayed = true;
                 listener.relay(events);
             }
         } catch (InvalidResponseException e) {
@@ -155,6 +157,8 @@
             fail(RefusalReason.ANSWER_INCOMPLETE, false, "The answer has no valid status");
         } else if (end.chunks() != nextSequence) {
             fail(RefusalReason.ANSWER_INCOMPLETE, false, "The last chunks of the answer are missing");
+        } else if (relayed && !RecordedResponse.isSuccess(end.status())) {
+            fail(RefusalReason.ANSWER_INCOMPLETE, false, "The stream ended with a failure");
         } else {
             complete(end);
         }
--- a/entry/src/main/java/org/cicadahead/entry/EventStreamCollector.java
+++ b/entry/src/main/java/org/cicadahead/entry/EventStreamCollector.java
@@ -39,14 +39,18 @@
         if (end < 0) {
             return new byte[0];
         }
-        unparsed.reset();
-        unparsed.writeBytes(text.substring(end + 2).getBytes(StandardCharsets.ISO_8859_1));
         StringBuilder relayed = new StringBuilder();
         for (String event : text.substring(0, end).split("\n\n")) {
             if (mergeEvent(event)) {
                 relayed.append(event).append("\n\n");
             }
         }
+        if (envelope == null) {
+            // The status is known only at the end: without an event of a completion, this may be the text of a failure.
+            return new byte[0];
+        }
+        unparsed.reset();
+        unparsed.writeBytes(text.substring(end + 2).getBytes(StandardCharsets.ISO_8859_1));
         return relayed.toString().getBytes(StandardCharsets.ISO_8859_1);
     }
 
