Decide once, and by the versions of the stream, whether a slow endpoint is given up

Endpoints of other versions counted as an alternative, so that a stream bound to a version was still refused with 502 after a third of its time. And the check was repeated until the deadline, so that an endpoint that appeared late ended an attempt that was about to respond.

Change: the check is made once, with the versions at which the request may be sent. A plain answer behind the events of a stream resets the response; until now only the check of its head prevented it.

Evidence: StreamVersionsTest.isNotGivenUpForEndpointsOfOtherVersions and RequestFlowTest.aLateAlternativeDoesNotEndASlowAttempt failed before and pass now, with the other tests of the package.

--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointAttempts.java
@@ -148,6 +148,11 @@
         }
     }
 
+    /** Accepts the software versions at which the request may be sent, also those that are to be recorded before. */
+    private Predicate<String> allowedVersions() {
+        return versions.isExtendable() ? version -> true : versions::allows;
+    }
+
     private EndpointSelector.Placement place(boolean healthyOnly, long now) {
         return scope.context().selector().place(admitted, triedEndpoints, versions::allows, healthyOnly, now);
     }
@@ -180,15 +185,12 @@
         if (repeatable && possibleRuns < admitted.route().maxAttempts()) {
             long timeoutMillis =
                     Math.max(MIN_FIRST_BYTE_TIMEOUT_MILLIS, (long) (leftMillis * FIRST_BYTE_TIMEOUT_FRACTION));
-            scheduleFirstByteCheck(attempt, timeoutMillis);
+            firstByteTimeout = scope.context()
+                    .timer()
+                    .schedule(() -> firstByteTimedOut(attempt), timeoutMillis, TimeUnit.MILLISECONDS);
         }
     }
 
-    private void scheduleFirstByteCheck(int attempt, long delayMillis) {
-        firstByteTimeout =
-                scope.context().timer().schedule(() -> firstByteTimedOut(attempt), delayMillis, TimeUnit.MILLISECONDS);
-    }
-
     /**
      * Sends a stream that has not begun to the best endpoint of any version, and records its version before if need be.
      */
@@ -222,8 +224,8 @@
      * request has already been at an endpoint. Otherwise refuses it.
      */
     private void waitForCapacity(long now, long leftMillis) {
-        Predicate<String> allowed = versions.isExtendable() ? version -> true : versions::allows;
-        OptionalLong delay = scope.context().selector().limitDelayMillis(admitted, triedEndpoints, allowed, now);
+        OptionalLong delay =
+                scope.context().selector().limitDelayMillis(admitted, triedEndpoints, allowedVersions(), now);
         if (delay.isEmpty()) {
             refuseWithoutEndpoint();
             return;
@@ -269,13 +271,9 @@
             if (attempt != currentAttempt || placement == null || relay.hasStarted() || scope.isDone()) {
                 return;
             }
-            Optional<String> other = scope.context()
-                    .selector()
-                    .likelyVersion(admitted, triedEndpoints, scope.context().nowMillis());
-            if (other.isPresent()) {
+            long now = scope.context().nowMillis();
+            if (scope.context().selector().isAvailable(admitted, triedEndpoints, allowedVersions(), now)) {
                 retry(RetryReason.SLOW);
-            } else {
-                scheduleFirstByteCheck(attempt, MIN_FIRST_BYTE_TIMEOUT_MILLIS);
             }
         }
     }
--- a/gateway/src/main/java/org/cicadahead/gateway/EndpointSelector.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/EndpointSelector.java
@@ -78,6 +78,12 @@
         return Optional.ofNullable(chosen).map(each -> each.record().softwareVersion());
     }
 
+    /** Returns whether the request could be sent to an endpoint now, which may be an ejected or silent one. */
+    synchronized boolean isAvailable(
+            AdmittedRequest request, Set<String> excluded, Predicate<String> versions, long nowMillis) {
+        return policy.choose(placementRequest(request, excluded, versions, false), nowMillis) != null;
+    }
+
     /** Returns the software version that all known endpoints of a service share; empty if there are several or none. */
     synchronized Optional<String> onlyVersion(String service) {
         Set<String> versions = registry.softwareVersions(service);
--- a/gateway/src/main/java/org/cicadahead/gateway/RequestScope.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestScope.java
@@ -75,9 +75,11 @@
         return streamStarted;
     }
 
-    /** Sends a complete response and ends the request. */
+    /** Sends a complete response and ends the request. It cannot follow the events of a stream that has begun. */
     synchronized void answer(ResponseHead head, byte[] body, long tokens) {
-        if (finish("answered", head.status(), tokens)) {
+        if (streamStarted) {
+            refuse(RefusalReason.ENDPOINT_LOST);
+        } else if (finish("answered", head.status(), tokens)) {
             context.counters().answered();
             exchange.answer(head, body);
         }
--- a/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/GatewayFixture.java
@@ -75,7 +75,12 @@
                 List.of(new SiteService("s", "/health", 10, null)),
                 List.of(organisation),
                 CallerLimits.STANDARD)));
-        ENDPOINTS.forEach(id -> report(id, 1, EndpointPhase.READY));
+        ENDPOINTS.forEach(this::join);
+    }
+
+    /** Reports an endpoint as ready. */
+    void join(String instance) {
+        report(instance, 1, EndpointPhase.READY);
     }
 
     /** Reports all endpoints but one as gone. */
--- a/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/RequestFlowTest.java
@@ -313,6 +313,19 @@
         assertThat(endpoints.sent).hasSize(1);
     }
 
+    /** An alternative that appears late must not end an attempt that is about to respond. */
+    @Test
+    void aLateAlternativeDoesNotEndASlowAttempt() throws InterruptedException {
+        send("/safe/x", "k", 2_000);
+        gateway.leaveOnly(endpoints.last().request.instance());
+        assertThat(caller.refused.await(900, TimeUnit.MILLISECONDS)).isFalse();
+        gateway.join("d");
+        assertThat(caller.refused.await(500, TimeUnit.MILLISECONDS)).isFalse();
+        assertThat(endpoints.sent).hasSize(1);
+        endpoints.last().answer(200, "late");
+        assertThat(caller.body.toString()).isEqualTo("late");
+    }
+
     /** A request must be refused at once when all endpoints are full, not only at its deadline. */
     @Test
     void isRefusedAtOnceWhenAllEndpointsAreFull() {
--- a/gateway/src/test/java/org/cicadahead/gateway/StreamVersionsTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/StreamVersionsTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.cicadahead.fleet.EndpointPhase;
 import org.cicadahead.fleet.EndpointRecord;
 import org.cicadahead.fleet.FleetUpdate;
@@ -96,6 +97,18 @@
         assertThat(caller.refusal.reason()).isEqualTo(RefusalReason.STORES_UNAVAILABLE);
     }
 
+    /** Endpoints of other versions are no alternative to a slow one, so that the slow one must not be given up. */
+    @Test
+    void isNotGivenUpForEndpointsOfOtherVersions() throws Exception {
+        start(StreamVersions.only("v1"));
+        assertThat(caller.refused.await(1_000, TimeUnit.MILLISECONDS)).isFalse();
+        endpoints.last().head(200, true, false);
+        endpoints.last().event(1);
+        endpoints.last().listener.end();
+        assertThat(caller.ended).isTrue();
+        assertThat(endpoints.sent).hasSize(1);
+    }
+
     /** After its first event a stream must not go on at another version, even if that was recorded. */
     @Test
     void isBoundToTheVersionOfItsFirstEvent() throws Exception {
