Report no answer of another media type as a complete stream

Cause: a caller asks for a stream, and the engine answers 200 with events under another media type, or under none. The endpoint daemon treats such an answer as a plain body and doesn't look for its last event. The collector of the entry merged the events and never looked at the media type, so an answer that was cut between two events was recorded and ended with [DONE].

Change: EventStreamCollector.finish refuses a success that isn't text/event-stream with answer_incomplete. The entry decides this, as an engine that answers in full under another type has not crashed. The fake endpoint of the tests now ends streams with the media type that an endpoint daemon sends.

--- a/entry/src/main/java/org/cicadahead/entry/EventStreamCollector.java
+++ b/entry/src/main/java/org/cicadahead/entry/EventStreamCollector.java
@@ -59,6 +59,9 @@
         if (!RecordedResponse.isSuccess(end.status())) {
             return new RecordedResponse(false, end.status(), end.contentType(), unparsed.toByteArray());
         }
+        if (!isStream(end.contentType())) {
+            throw new InvalidResponseException("the answer is not a stream");
+        }
         if (envelope == null || unparsed.size() > 0) {
             throw new InvalidResponseException("the stream ended within an event");
         }
@@ -78,6 +81,11 @@
         return bytes;
     }
 
+    /** Returns whether the endpoint daemon has checked that a response of a media type has its last event. */
+    private static boolean isStream(String contentType) {
+        return contentType != null && contentType.startsWith("text/event-stream");
+    }
+
     /** Parses and merges an event. Returns false for the final event, which the entry sends itself at the end. */
     private boolean mergeEvent(String event) throws InvalidResponseException {
         StringBuilder data = new StringBuilder();
--- a/entry/src/test/java/org/cicadahead/entry/FakeEndpoint.java
+++ b/entry/src/test/java/org/cicadahead/entry/FakeEndpoint.java
@@ -83,7 +83,8 @@
     }
 
     static RunEnd end(RunRequest request, long chunks) {
-        return new RunEnd(request.run(), chunks, 200, "application/json", null, false, "", new Usage(10, 0, 5), LOAD);
+        String type = request.stream() ? "text/event-stream" : "application/json";
+        return new RunEnd(request.run(), chunks, 200, type, null, false, "", new Usage(10, 0, 5), LOAD);
     }
 
     static RunEnd refused(RunRequest request, RefusalReason reason, boolean notRun) {
