Take no usage so far for the end of a stream

Cause: EventSplitter took the first event with a usage for the last one. Some engines state the usage so far in every event; a stream without a length and chunks that they broke off in order between two events ended with [DONE].

Change: a usage ends a stream only if no choice of its event goes on, i.e. each has a finish reason or there are none.

--- a/endpoint/src/main/java/org/cicadahead/engine/EngineBodies.java
+++ b/endpoint/src/main/java/org/cicadahead/engine/EngineBodies.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -44,25 +45,40 @@
 
     /** Returns the token usage in a complete response or in an event, or null if there is none. */
     static Usage usage(byte[] text) {
-        if (text == null) {
+        JsonNode usage = read(text).path("usage");
+        if (!usage.isObject()) {
             return null;
         }
+        return new Usage(
+                usage.path("prompt_tokens").asLong(),
+                usage.path("prompt_tokens_details").path("cached_tokens").asLong(),
+                usage.path("completion_tokens").asLong());
+    }
+
+    /** Returns whether no choice of an event goes on. Some engines state the usage so far in every event. */
+    static boolean isFinal(byte[] event) {
+        for (JsonNode choice : read(event).path("choices")) {
+            if (!choice.hasNonNull("finish_reason")) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns the first JSON object in a text, or a missing node. */
+    private static JsonNode read(byte[] text) {
+        if (text == null) {
+            return MissingNode.getInstance();
+        }
         int start = 0;
         while (start < text.length && text[start] != '{') {
             start++;
         }
         try (JsonParser parser = Codec.json().getFactory().createParser(text, start, text.length - start)) {
             JsonNode root = Codec.json().reader().readTree(parser);
-            JsonNode usage = root == null ? null : root.path("usage");
-            if (usage == null || !usage.isObject()) {
-                return null;
-            }
-            return new Usage(
-                    usage.path("prompt_tokens").asLong(),
-                    usage.path("prompt_tokens_details").path("cached_tokens").asLong(),
-                    usage.path("completion_tokens").asLong());
+            return root == null ? MissingNode.getInstance() : root;
         } catch (IOException e) {
-            return null;
+            return MissingNode.getInstance();
         }
     }
 }
--- a/endpoint/src/main/java/org/cicadahead/engine/EventSplitter.java
+++ b/endpoint/src/main/java/org/cicadahead/engine/EventSplitter.java
@@ -60,7 +60,7 @@
         return totalEvents;
     }
 
-    /** Returns the event that contains the token usage, or null. */
+    /** Returns the event that contains the token usage of the whole stream, or null. */
     byte[] usageEvent() {
         return usageEvent;
     }
@@ -75,7 +75,7 @@
             return;
         }
         byte[] event = Arrays.copyOfRange(buffer, start, end);
-        if (EngineBodies.usage(event) != null) {
+        if (EngineBodies.usage(event) != null && EngineBodies.isFinal(event)) {
             usageEvent = event;
         }
     }
--- a/endpoint/src/test/java/org/cicadahead/engine/EventSplitterTest.java
+++ b/endpoint/src/test/java/org/cicadahead/engine/EventSplitterTest.java
@@ -26,6 +26,17 @@
         assertThat(EngineBodies.usage(splitter.usageEvent())).isNotNull();
     }
 
+    /** Some engines state the usage so far in every event. */
+    @Test
+    void theUsageOfAChoiceThatGoesOnDoesNotCompleteAStream() throws EngineException {
+        feed("{\"choices\":[{\"index\":0}],\"usage\":{\"completion_tokens\":1}}");
+        assertThat(splitter.isComplete()).isFalse();
+        feed("{\"choices\":[{\"index\":0,\"finish_reason\":null}],\"usage\":{\"completion_tokens\":2}}");
+        assertThat(splitter.isComplete()).isFalse();
+        feed("{\"choices\":[{\"index\":0,\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":2}}");
+        assertThat(splitter.isComplete()).isTrue();
+    }
+
     /** Text that an engine generates may contain the name of the field. */
     @Test
     void aTextThatMentionsUsageDoesNotCompleteAStream() throws EngineException {
