Report no cut JSON body as complete because its connection closed

Cause: a response with neither a length nor chunks ends with its connection, and the HTTP client can't tell a close after the last byte from an earlier one. ServiceClient and StreamingCall passed on what had arrived. The caller of a service got it framed with a length (a 200 with a short or an empty body), and a claim recorded it as its outcome. An engine's body was refused by the entry only, as it isn't a chat completion, after the run had counted as served.

Change: CloseDelimitedResponse recognises a cut one by the syntax of its JSON. Such a response fails as one that was broken off: always for an engine's success, and for other responses if they are declared as JSON. A body that isn't JSON and has neither a length nor chunks is complete by the protocol and stays so.

--- a/endpoint/src/main/java/org/cicadahead/engine/StreamingCall.java
+++ b/endpoint/src/main/java/org/cicadahead/engine/StreamingCall.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
+import org.cicadahead.http.CloseDelimitedResponse;
 import org.cicadahead.model.RunId;
 import org.cicadahead.protocol.Usage;
 import org.eclipse.jetty.client.Request;
@@ -158,11 +159,7 @@
         } else if (result.isSucceeded() && resuming) {
             fail(new EngineException(EngineException.Kind.LOST, "the engine cannot resume the stream", null));
         } else if (result.isSucceeded()) {
-            byte[] body = responseBody.toByteArray();
-            if (body.length > 0) {
-                listener.data(body, 0);
-            }
-            end(response, response.getStatus() == OK ? EngineBodies.usage(body) : null);
+            endBody(response, responseBody.toByteArray());
         } else if (!sent) {
             fail(new EngineException(
                     EngineException.Kind.NOT_SENT, "the request could not be sent to the engine", result.getFailure()));
@@ -210,6 +207,22 @@
                 RESUME_DELAY_MILLIS * resumeAttempts);
     }
 
+    /** Ends a run whose response is not a stream. */
+    private void endBody(Response response, byte[] body) {
+        boolean ok = response.getStatus() == OK;
+        boolean cutOff = ok
+                ? CloseDelimitedResponse.isCutOffJson(response, body)
+                : CloseDelimitedResponse.isCutOff(response, body);
+        if (cutOff) {
+            fail(new EngineException(EngineException.Kind.LOST, "the engine's response was cut off", null));
+            return;
+        }
+        if (body.length > 0) {
+            listener.data(body, 0);
+        }
+        end(response, ok ? EngineBodies.usage(body) : null);
+    }
+
     private void end(Response response, Usage usage) {
         if (markFinished()) {
             listener.ended(response.getStatus(), response.getHeaders().get("Content-Type"), usage);
--- a/endpoint/src/main/java/org/cicadahead/service/ServiceClient.java
+++ b/endpoint/src/main/java/org/cicadahead/service/ServiceClient.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.cicadahead.http.CloseDelimitedResponse;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
@@ -65,13 +66,13 @@
         request.onRequestBegin(r -> requestBegun.set(true)).send(new BufferingResponseListener(MAX_RESPONSE_BYTES) {
             @Override
             public void onComplete(Result result) {
-                if (result.isSucceeded()) {
-                    byte[] body = getContent();
+                byte[] body = Objects.requireNonNullElse(getContent(), new byte[0]);
+                if (result.isSucceeded() && !CloseDelimitedResponse.isCutOff(result.getResponse(), body)) {
                     response.complete(new ServiceResponse(
                             result.getResponse().getStatus(),
                             Objects.requireNonNullElse(
                                     result.getResponse().getHeaders().get("Content-Type"), ""),
-                            body == null ? new byte[0] : body));
+                            body));
                 } else {
                     response.completeExceptionally(new ServiceException(
                             requestBegun.get(), "the service sent no complete response", result.getFailure()));
