Reset a stream that an answer would end

Cause: RequestScope.answer appended a whole response to a stream that had begun. No path to it is known on this code; the request's own state still allowed it, while refuse and end already distinguish whether a stream has begun.

Change: answer resets the connection if a stream has begun.

Evidence: ResumptionFailureTest.anAnswerWithinAStreamResetsIt failed before ("the endpoint failed" behind event 1) and passes now, as do 78 other tests of the gateway's request flow.

--- a/gateway/src/main/java/org/cicadahead/gateway/RequestScope.java
+++ b/gateway/src/main/java/org/cicadahead/gateway/RequestScope.java
@@ -75,8 +75,13 @@
         return streamStarted;
     }
 
-    /** Sends a complete response and ends the request. */
+    /** Sends a complete response and ends the request. If a stream has begun, resets its connection instead. */
     synchronized void answer(ResponseHead head, byte[] body, long tokens) {
+        if (streamStarted) {
+            // The caller would take the end of this response for the end of the stream.
+            refuse(RefusalReason.ENDPOINT_LOST);
+            return;
+        }
         if (finish("answered", head.status(), tokens)) {
             context.counters().answered();
             exchange.answer(head, body);
--- a/gateway/src/test/java/org/cicadahead/gateway/ResumptionFailureTest.java
+++ b/gateway/src/test/java/org/cicadahead/gateway/ResumptionFailureTest.java
@@ -2,9 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
@@ -179,4 +181,22 @@
     void aFailedResumptionDoesNotCompleteAStreamThatItsCallerResumed() throws RefusedException {
         checkTurns(0);
     }
+
+    /** Whatever decides on responses, one that is not a part of the stream must not end it as complete. */
+    @Test
+    void anAnswerWithinAStreamResetsIt() {
+        CallerRequest request = request(-1);
+        FakeExchange caller = new FakeExchange();
+        RequestScope scope = new RequestScope(gateway.context, request, caller);
+        scope.chunk(head(request, 200), EVENT_1.getBytes(StandardCharsets.UTF_8));
+        scope.answer(head(request, 500), "the endpoint failed".getBytes(StandardCharsets.UTF_8), 1);
+        assertThat(caller.body.toString()).isEqualTo(EVENT_1);
+        assertThat(caller.reset).isTrue();
+        assertThat(caller.ended).isFalse();
+        assertThat(scope.isDone()).isTrue();
+    }
+
+    private static ResponseHead head(CallerRequest request, int status) {
+        return new ResponseHead(status, List.of(), request.attempt(), true, false, OptionalDouble.empty(), false);
+    }
 }
