Let endpoints of the soak break off within the head

Endpoints of the soak sent heads without end, but none that stopped: after the first byte of a response they always sent its whole head.

One of 45 plain responses is malformed now (one of 60 before, as there are four kinds instead of three, so that the others stay as frequent), and a quarter of these stop at a random byte of the head and end by a close or by a reset. Streams that break off do so in two further ways. SoakCommand.now() repeated SoakJudge.now().

--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakAnswers.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakAnswers.java
@@ -24,8 +24,8 @@
     private static final int MISDIRECTED = 421;
     /** One of this number of turns breaks off after its first event. */
     private static final int BREAK_OFF_CHANCE = 8;
-    /** One of this number of responses has a head or body without end. */
-    private static final int ENDLESS_CHANCE = 60;
+    /** One of this number of responses has a head that is cut off, or a head or body without end. */
+    private static final int MALFORMED_CHANCE = 45;
     /** One of this number of requests that may run once is slow. */
     private static final int SLOW_CHANCE = 4;
 
@@ -81,8 +81,8 @@
 
     private void answer(String path, String attempt, String body, SoakResponse answer) throws IOException {
         ThreadLocalRandom random = ThreadLocalRandom.current();
-        if (random.nextInt(ENDLESS_CHANCE) == 0) {
-            endless(attempt, answer);
+        if (random.nextInt(MALFORMED_CHANCE) == 0) {
+            malformed(attempt, answer);
             return;
         }
         if (path.startsWith("/once/") && random.nextInt(SLOW_CHANCE) == 0) {
@@ -103,9 +103,14 @@
         }
     }
 
-    private void endless(String attempt, SoakResponse answer) {
+    private void malformed(String attempt, SoakResponse answer) throws IOException {
         judge.brokenOff(attempt);
-        switch (ThreadLocalRandom.current().nextInt(3)) {
+        switch (ThreadLocalRandom.current().nextInt(4)) {
+            case 3 -> {
+                Break how = Break.values()[ThreadLocalRandom.current().nextInt(Break.values().length)];
+                judge.sentResponse(attempt, "head cut, " + how);
+                answer.cutHead(OK, attempt, how);
+            }
             case 0 -> {
                 judge.sentResponse(attempt, "head without end");
                 answer.endlessHead(attempt);
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCommand.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakCommand.java
@@ -144,8 +144,8 @@
         faults.add(disturb(fleet.role("entry"), entryFaults, endpoints, 3));
         faults.add(disturb(List.of(), List.of(), endpoints, 4));
         faults.add(thread(new SoakReloads(fleet.members(), new Random(seed * 31 + 5), disturbing::get)));
-        long until = now() + seconds * MILLIS_PER_SECOND;
-        operate(operator, endpoints, () -> now() >= until);
+        long until = SoakJudge.now() + seconds * MILLIS_PER_SECOND;
+        operate(operator, endpoints, () -> SoakJudge.now() >= until);
         disturbing.set(false);
         for (Thread fault : faults) {
             fault.join();
@@ -158,8 +158,8 @@
                 endpoints,
                 () -> judge.servedSoFar() > before + callers);
         await("a read after the faults", RECOVER_LIMIT_MILLIS, operator, endpoints, operator::read);
-        long inTouchUntil = now() + IN_TOUCH_MILLIS;
-        operate(operator, endpoints, () -> now() >= inTouchUntil);
+        long inTouchUntil = SoakJudge.now() + IN_TOUCH_MILLIS;
+        operate(operator, endpoints, () -> SoakJudge.now() >= inTouchUntil);
         calling.set(false);
         for (Thread each : threads) {
             each.join();
@@ -199,10 +199,10 @@
         try {
             while (calling.get()) {
                 fleet.members().forEach(SoakFleet.Member::checkAlive);
-                long before = now();
+                long before = SoakJudge.now();
                 Thread.sleep(WATCH_MILLIS);
-                if (now() > before + WATCH_MILLIS + STALL_MILLIS) {
-                    judge.stalled(before, now());
+                if (SoakJudge.now() > before + WATCH_MILLIS + STALL_MILLIS) {
+                    judge.stalled(before, SoakJudge.now());
                 }
             }
         } catch (InterruptedException e) {
@@ -225,13 +225,13 @@
     /** Changes the configuration, reads it and sends heartbeats of the endpoints until a condition holds. */
     private static void operate(SoakOperator operator, List<SoakEndpoint> endpoints, BooleanSupplier ended)
             throws InterruptedException {
-        long changeDue = now();
+        long changeDue = SoakJudge.now();
         while (!ended.getAsBoolean()) {
             endpoints.forEach(operator::heartbeat);
             operator.read();
-            if (now() >= changeDue) {
+            if (SoakJudge.now() >= changeDue) {
                 operator.changeInSeries();
-                changeDue = now() + CHANGE_MILLIS;
+                changeDue = SoakJudge.now() + CHANGE_MILLIS;
             }
             Thread.sleep(HEARTBEAT_MILLIS);
         }
@@ -244,9 +244,9 @@
             List<SoakEndpoint> endpoints,
             BooleanSupplier condition)
             throws InterruptedException {
-        long limit = now() + limitMillis;
-        operate(operator, endpoints, () -> now() >= limit || condition.getAsBoolean());
-        if (now() >= limit && !condition.getAsBoolean()) {
+        long limit = SoakJudge.now() + limitMillis;
+        operate(operator, endpoints, () -> SoakJudge.now() >= limit || condition.getAsBoolean());
+        if (SoakJudge.now() >= limit && !condition.getAsBoolean()) {
             judge.violation("not in time: " + what);
         }
     }
@@ -257,8 +257,4 @@
         thread.start();
         return thread;
     }
-
-    private static long now() {
-        return System.nanoTime() / 1_000_000;
-    }
 }
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakResponse.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakResponse.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.concurrent.ThreadLocalRandom;
 import org.cicadahead.platform.WireNames;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
@@ -89,6 +90,15 @@
         callback.failed(new IOException("broken off"));
     }
 
+    /** Sends a part of a head that ends at any byte, and ends the connection. */
+    void cutHead(int status, String attempt, Break how) throws IOException {
+        String head = "HTTP/1.1 " + status + " X\r\n" + WireNames.ATTEMPT + ": " + attempt + "\r\n"
+                + WireNames.SIGNATURE + ": seal-" + attempt + "\r\nContent-Length: 12\r\n\r\n";
+        writeRaw(head.substring(0, ThreadLocalRandom.current().nextInt(head.length()))
+                .getBytes(StandardCharsets.US_ASCII));
+        breakOff(how);
+    }
+
     /** Sends header fields until the connection is closed. */
     void endlessHead(String attempt) {
         String start = "HTTP/1.1 200 OK\r\n" + WireNames.ATTEMPT + ": " + attempt + "\r\n";
--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakStreams.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakStreams.java
@@ -40,6 +40,8 @@
 
     /** How a response to a stream is not whole. */
     private enum Interruption {
+        IN_HEAD_CLOSED,
+        IN_HEAD_RESET,
         IN_EVENT_CLOSED,
         IN_EVENT_RESET,
         BETWEEN_EVENTS_CLOSED,
@@ -114,6 +116,8 @@
         String inEvent = part + next.substring(0, ThreadLocalRandom.current().nextInt(1, next.length() - 1));
         response.signed(OK, rest.attempt());
         switch (kind) {
+            case IN_HEAD_CLOSED -> response.cutHead(OK, rest.attempt(), Break.CLOSE);
+            case IN_HEAD_RESET -> response.cutHead(OK, rest.attempt(), Break.RESET);
             case IN_EVENT_CLOSED -> breakOff(framing, inEvent, whole, Break.CLOSE, response);
             case IN_EVENT_RESET -> breakOff(framing, inEvent, whole, Break.RESET, response);
             case BETWEEN_EVENTS_CLOSED -> breakOff(framing, part, whole, Break.CLOSE, response);
