Let changes of the soak's configuration overlap

The operator of the soak submitted each change after the answer to the one before, so that two hubs never had to order two changes at once. Half of its series submit all their changes at the same time now. A read is checked against the versions acknowledged before it began, as before.

--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakOperator.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakOperator.java
@@ -1,7 +1,12 @@
 package org.cicadahead.testbed.soak;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -15,8 +20,9 @@
     private final SoakHttp http;
     private final SoakJudge judge;
     private final Random random;
+    private final AtomicLong acknowledged = new AtomicLong();
+    private final Executor executor = task -> new Thread(task, "change").start();
     private long version;
-    private long acknowledged;
     private long sequence;
 
     SoakOperator(SoakFleet fleet, SoakHttp http, SoakJudge judge, Random random) {
@@ -28,32 +34,46 @@
 
     /** Submits the next version; returns whether it was acknowledged. */
     boolean change() {
-        version++;
-        SoakHttp.Answer answer = http.call("PUT", hub(), "/-/config", Map.of(), document(version));
-        if (answer.status() == OK) {
-            acknowledged = Math.max(acknowledged, version);
-            return true;
-        }
-        return false;
+        return submit(++version, hub());
     }
 
-    /** Submits a few versions, each right after the one before. */
+    /** Submits a few versions, each right after the one before or all at the same time. */
     void changeInSeries() {
-        for (int i = random.nextInt(MAX_SERIES); i >= 0; i--) {
-            change();
+        int count = 1 + random.nextInt(MAX_SERIES);
+        boolean overlapping = random.nextBoolean();
+        List<CompletableFuture<Boolean>> changes = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            long number = ++version;
+            String hub = hub();
+            CompletableFuture<Boolean> change = CompletableFuture.supplyAsync(() -> submit(number, hub), executor);
+            changes.add(change);
+            if (!overlapping) {
+                change.join();
+            }
+        }
+        changes.forEach(CompletableFuture::join);
+    }
+
+    private boolean submit(long number, String hub) {
+        boolean done =
+                http.call("PUT", hub, "/-/config", Map.of(), document(number)).status() == OK;
+        if (done) {
+            acknowledged.accumulateAndGet(number, Math::max);
         }
+        return done;
     }
 
     /** Reads the configuration; an older one than was acknowledged before breaks a promise. */
     boolean read() {
+        long before = acknowledged.get();
         SoakHttp.Answer answer = http.call("GET", hub(), "/-/config", Map.of(), "");
         if (answer.status() != OK) {
             return false;
         }
         Matcher found = VERSION.matcher(answer.body());
         long read = found.find() ? Long.parseLong(found.group(1)) : 0;
-        if (read < acknowledged) {
-            judge.violation("version " + read + " was read after version " + acknowledged + " was acknowledged");
+        if (read < before) {
+            judge.violation("version " + read + " was read after version " + before + " was acknowledged");
         }
         return true;
     }
