--- a/testbed/src/main/java/org/cicadahead/testbed/soak/SoakStream.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/soak/SoakStream.java
@@ -36,7 +36,8 @@
         }
         String rest = body.substring(end);
         if (!rest.isEmpty() && (isComplete || !event.hitEnd())) {
-            fault = "after event " + lastEvent + " follows no event but '" + rest.strip() + "'";
+            fault = "after event " + lastEvent + " follows no event but '"
+                    + rest.replace("\r", "\\r").replace("\n", "\\n") + "'";
         }
     }
 
