Prove that full disks of control replicas in turn stop nothing

Only the soft limit is changed. The limit also applies to the file that takes the output of the process, so that the log lines of that time are lost. Each edit is sent first to the replica whose disk is full, then under the same request id to all. Checked are: that replica answers within 2 s (edits time out after 10 s), each edit is accepted within 3 s, each accepted edit is there and applied once, all replicas vote under their ids and have the log 5 s after the disk has room, no process ends, programs finish in each window, and no call is refused with configuration_lease_expired. The case goes on after a failed check until an edit is not accepted, as the loss of one replica shows only with the next.

ManagedProcessTest.deniesAndAllowsWritesToFiles passes: a script notices failed writes, and its output grows again.

--- a/testbed/src/main/java/org/cicadahead/testbed/fleet/ManagedProcess.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/fleet/ManagedProcess.java
@@ -120,6 +120,26 @@
         signal(Signal.CONT);
     }
 
+    /**
+     * Lets each write of the process to a file fail, as on a full disk, until {@link #allowWrites()}.
+     *
+     * <p>Sockets and pipes are not affected. The log is, if it is a file: what the process reports until then is lost.
+     *
+     * @throws FleetException if the process does not run, or {@code prlimit} is missing or fails
+     */
+    public void denyWrites() throws FleetException {
+        limitFiles("0:");
+    }
+
+    /**
+     * Lets the process write files again.
+     *
+     * @throws FleetException if the process does not run, or {@code prlimit} is missing or fails
+     */
+    public void allowWrites() throws FleetException {
+        limitFiles("unlimited:");
+    }
+
     /**
      * Asks the process to shut down gracefully.
      *
@@ -171,23 +191,35 @@
         return process.exitValue();
     }
 
+    /** Sets the soft limit on the size of files only, so that it can be raised again. */
+    private synchronized void limitFiles(String limit) throws FleetException {
+        String tool = "prlimit --fsize=" + limit;
+        runTool(tool + " for " + name, "prlimit", "--pid", Long.toString(pid()), "--fsize=" + limit);
+    }
+
     private synchronized void signal(Signal signal) throws FleetException {
+        runTool("kill of " + name + " with " + signal, "kill", "-" + signal.name(), Long.toString(pid()));
+    }
+
+    /** Runs a tool on the process; its failure is ignored if the process has ended meanwhile. */
+    private void runTool(String what, String... toolCommand) throws FleetException {
         if (!isAlive()) {
             throw new FleetException(name + " does not run", null);
         }
         try {
-            Process kill = new ProcessBuilder("kill", "-" + signal.name(), Long.toString(process.pid()))
+            Process tool = new ProcessBuilder(toolCommand)
                     .redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.DISCARD)
                     .start();
-            if (kill.waitFor() != 0 && process.isAlive()) {
-                throw new FleetException("cannot send " + signal + " to " + name, null);
+            int code = tool.waitFor();
+            if (code != 0 && process.isAlive()) {
+                throw new FleetException(what + " ended with exit code " + code, null);
             }
         } catch (IOException e) {
-            throw new FleetException("cannot send " + signal + " to " + name, e);
+            throw new FleetException(what + " cannot be run", e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            throw new FleetException("interrupted while sending " + signal + " to " + name, e);
+            throw new FleetException("interrupted during " + what, e);
         }
     }
 }
--- a/testbed/src/main/java/org/cicadahead/testbed/prove/ProveCommand.java
+++ b/testbed/src/main/java/org/cicadahead/testbed/prove/ProveCommand.java
@@ -72,6 +72,7 @@
     private List<FaultCase> cases() {
         List<FaultCase> cases = new ArrayList<>();
         cases.addAll(ControlCases.all());
+        cases.addAll(DiskCases.all());
         cases.addAll(EntryCases.all());
         cases.addAll(EndpointCases.all());
         cases.addAll(OnceCases.all());
--- a/testbed/src/test/java/org/cicadahead/testbed/fleet/ManagedProcessTest.java
+++ b/testbed/src/test/java/org/cicadahead/testbed/fleet/ManagedProcessTest.java
@@ -51,6 +51,25 @@
         assertThrows(FleetException.class, process::freeze);
     }
 
+    /** Guards against a full disk that the process does not notice, or that stays full. */
+    @Test
+    void deniesAndAllowsWritesToFiles() throws FleetException {
+        Path failed = folder.resolve("failed");
+        // The script ignores SIGXFSZ (25) as a JVM does; a folder can be made without a write to a file.
+        ManagedProcess process =
+                process("trap '' 25; while :; do echo written || mkdir -p " + failed + "; sleep 0.02; done");
+        process.start();
+        assertThat(Polling.await(WAIT_MILLIS, () -> !text().isEmpty())).isTrue();
+        assertThat(Files.exists(failed)).isFalse();
+        process.denyWrites();
+        assertThat(Polling.await(WAIT_MILLIS, () -> Files.exists(failed))).isTrue();
+        int length = text().length();
+        process.allowWrites();
+        assertThat(Polling.await(WAIT_MILLIS, () -> text().length() > length)).isTrue();
+        process.kill();
+        assertThrows(FleetException.class, process::denyWrites);
+    }
+
     private ManagedProcess process(String script) {
         return new ManagedProcess("script", List.of("sh", "-c", script), folder.resolve("log"));
     }
