Classify a file size limit as a full disk

Cause: a write beyond the file size limit of a process fails with EFBIG ("File too large"), which was reported as an unspecific failure.

Change: the text of EFBIG counts as a full disk, like ENOSPC and EDQUOT.

Result: DurableFilesTest failed before in 1 of 5 rows ("File too large" was FAILED) and passes now.

--- a/raft/src/main/java/org/cicadahead/storage/DurableFiles.java
+++ b/raft/src/main/java/org/cicadahead/storage/DurableFiles.java
@@ -9,12 +9,15 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.List;
 import java.util.zip.CRC32C;
 
 /** File operations whose effect is durable when they return. */
 final class DurableFiles {
     /** Size of the header of a small file: the length and the CRC32C of its content. */
     private static final int HEADER_BYTES = 8;
+    /** Parts of the texts of the errors ENOSPC, EDQUOT and EFBIG. */
+    private static final List<String> FULL_DISK_TEXTS = List.of("No space left", "quota exceeded", "File too large");
 
     private DurableFiles() {}
 
@@ -24,7 +27,7 @@
      */
     static StorageException toStorageException(String action, IOException cause) {
         String text = cause.toString();
-        boolean full = text.contains("No space left") || text.contains("quota exceeded");
+        boolean full = FULL_DISK_TEXTS.stream().anyMatch(text::contains);
         return new StorageException(
                 full ? StorageException.Kind.FULL : StorageException.Kind.FAILED,
                 "cannot " + action + ": " + text,
