Write the recovered tail and hard state again before a replica votes

Cause: after a failed sync, the operating system may keep data in memory only, mark it as clean and report the next sync as successful. A replica that was restarted in the same process read such a tail or hard state and treated it as durable. It also opened its files without a write, so that it could vote once before it saw that the disk was still full.

Change: recovery writes the records behind the stored synced index again before it syncs them, and stores the hard state again. If the storage takes no writes, opening fails and the replica stays out. The files of a log are closed if its recovery fails, because attempts are repeated.

Result: LogStoreTest.recoveredTailAndHardStateAreWrittenAgain failed before (the segment was not written) and passes now. folderThatTakesNoWritesIsRejected passed before as well, as a leftover that cannot be deleted was rejected already. Loss of power is not simulated.

--- a/raft/src/main/java/org/cicadahead/storage/LogStore.java
+++ b/raft/src/main/java/org/cicadahead/storage/LogStore.java
@@ -69,8 +69,13 @@
     /** Opens the log files of an existing replica and recovers their entries. */
     static LogStore recover(Path folder, long segmentBytes, SnapshotHead head) throws StorageException {
         LogStore store = new LogStore(folder, segmentBytes);
-        store.runFileOperation("recover the log", () -> store.recover(head));
-        return store;
+        try {
+            store.runFileOperation("recover the log", () -> store.recover(head));
+            return store;
+        } catch (StorageException | RuntimeException e) {
+            store.close();
+            throw e;
+        }
     }
 
     /** Returns whether the folder holds log entries or a term, which means that it belonged to a replica. */
@@ -330,11 +335,13 @@
         if (last < stored.syncedIndex() && head.index() < stored.syncedIndex()) {
             throw corrupt("the log ends at entry " + last + " but entry " + stored.syncedIndex() + " had been synced");
         }
-        // A killed process may have left records that were written but not synced. Sync them now, because consensus
-        // treats all recovered entries as durable.
+        // Consensus treats all recovered entries and the hard state as durable, but a killed process may have left
+        // records unsynced, and after a failed sync the operating system may hold data only in memory and report later
+        // syncs as successful. Both are therefore written again.
+        segments.getLast().rewriteFrom(stored.syncedIndex() + 1);
         segments.getLast().sync();
         syncedIndex = last;
-        savedSyncedIndex = stored.syncedIndex();
+        saveState(hardState, stored.lastSegment());
         reconcile(head, entries);
     }
 
--- a/raft/src/main/java/org/cicadahead/storage/Segment.java
+++ b/raft/src/main/java/org/cicadahead/storage/Segment.java
@@ -1,6 +1,7 @@
 package org.cicadahead.storage;
 
 import java.io.Closeable;
+import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -150,6 +151,23 @@
         }
     }
 
+    /** Writes the records from an index on again, so that the next sync covers them. */
+    void rewriteFrom(long index) throws IOException {
+        int position = (int) Math.max(0, index - firstIndex);
+        if (position >= offsets.size()) {
+            return;
+        }
+        long start = offsets.get(position);
+        ByteBuffer records = ByteBuffer.allocate((int) (end - start));
+        while (records.hasRemaining()) {
+            if (channel.read(records, start + records.position()) < 0) {
+                throw new EOFException("the log file " + file.getFileName() + " became shorter");
+            }
+        }
+        channel.position(start);
+        DurableFiles.writeFully(channel, records.flip());
+    }
+
     void sync() throws IOException {
         channel.force(false);
     }
--- a/raft/src/test/java/org/cicadahead/storage/LogStoreTest.java
+++ b/raft/src/test/java/org/cicadahead/storage/LogStoreTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -284,6 +285,41 @@
         assertThat(checkPrefixOrRejected(folder, "truncated")).isEqualTo(4);
     }
 
+    /**
+     * Guards against data that a failed sync left in memory only and that later syncs report as durable: what a replica
+     * recovers without knowing that it was synced must be written again before it is synced.
+     */
+    @Test
+    void recoveredTailAndHardStateAreWrittenAgain() throws Exception {
+        Path folder = folderWithTenEntries("again");
+        try (ReplicaFolder files = ReplicaFolder.open(folder, LARGE_SEGMENT_BYTES)) {
+            write(files, entries(11, 11, 1));
+        }
+        Path state = folder.resolve("hard-state");
+        for (Path file : List.of(segment(folder), state)) {
+            Files.setLastModifiedTime(file, FileTime.fromMillis(0));
+        }
+        byte[] before = Files.readAllBytes(segment(folder));
+        ReplicaFolder.open(folder, LARGE_SEGMENT_BYTES).close();
+        assertThat(Files.getLastModifiedTime(segment(folder)).toMillis()).isGreaterThan(0L);
+        assertThat(Files.getLastModifiedTime(state).toMillis()).isGreaterThan(0L);
+        assertThat(Files.readAllBytes(segment(folder))).isEqualTo(before);
+        assertThat(checkPrefixOrRejected(folder, "written again")).isEqualTo(11);
+    }
+
+    /** Guards against a replica that votes although its storage takes no writes. */
+    @Test
+    void folderThatTakesNoWritesIsRejected() throws Exception {
+        Path folder = folderWithTenEntries("full");
+        Path blocker = Files.createDirectories(folder.resolve("hard-state.tmp").resolve("blocked"));
+        assertThat(assertThrows(StorageException.class, () -> ReplicaFolder.open(folder, LARGE_SEGMENT_BYTES))
+                        .kind())
+                .isEqualTo(StorageException.Kind.FAILED);
+        Files.delete(blocker);
+        Files.delete(blocker.getParent());
+        assertThat(checkPrefixOrRejected(folder, "takes writes again")).isEqualTo(10);
+    }
+
     /** Guards against a replica that keeps writing to open files after they were deleted or replaced. */
     @Test
     void emptiedFolderIsDetectedWhileOpen() throws Exception {
