Restart a control replica whose storage failed

Cause: the log writer ends at the first failed write, and the replica stops. Hubs and stores restarted their replica in this case, control did not. After failures at two replicas in turn there was no majority until someone started the processes anew.

Change: RestartableReplica moves to org.cicadahead.replication and is used by control as well, every 500 ms. Each start builds the tables, histories, leadership and services anew as one ControlInstance. A request uses one instance throughout, so that it never combines the lease of one start with the tables of another. The replica keeps its id and does not bootstrap. Each attempt is a log line with cause, free bytes and age of the failure; the gauges raft_replica_out, hub_replica_out and store_replica_out show a replica that is out. While it is out, operators get 503 replica_out with the cause, and daemons get NotLeader without an address (a failed leader named itself before). An unchecked exception no longer ends the periodic attempts.

RestartableReplicaTest moves along; its command is one of the raft tests, and two cases are new (same voter after failed writes; full disk).

--- a/control/src/main/java/org/cicadahead/control/ControlAdmin.java
+++ b/control/src/main/java/org/cicadahead/control/ControlAdmin.java
@@ -55,6 +55,11 @@
         this.catalog = catalog;
     }
 
+    @Override
+    public Optional<String> failure() {
+        return membership.failure();
+    }
+
     @Override
     public boolean isLeader() {
         return leadership.current().isPresent();
--- a/control/src/main/java/org/cicadahead/control/ControlMetrics.java
+++ b/control/src/main/java/org/cicadahead/control/ControlMetrics.java
@@ -5,6 +5,7 @@
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.cicadahead.model.RefusalReason;
 import org.cicadahead.protocol.ClaimReply;
@@ -36,8 +37,14 @@
         deniedOverRate = registry.counter("control.grants.denied." + RefusalReason.RATE_LIMITED.code());
     }
 
-    /** Registers gauges that read the state of the replicated log when metrics are collected. */
-    void registerGauges(Supplier<ReplicationCounters> counters) {
+    /**
+     * Registers gauges that read the state of the replicated log when metrics are collected.
+     *
+     * @param counters the counters of the current replica
+     * @param out 1 if the replica has failed and has not been restarted since, else 0
+     */
+    void registerGauges(Supplier<ReplicationCounters> counters, IntSupplier out) {
+        registry.gauge("raft.replica_out", () -> () -> out.getAsInt());
         registry.gauge("raft.term", () -> () -> counters.get().term());
         registry.gauge("raft.last_index", () -> () -> counters.get().lastIndex());
         registry.gauge("raft.commit_index", () -> () -> counters.get().commitIndex());
--- a/control/src/main/java/org/cicadahead/control/ControlNode.java
+++ b/control/src/main/java/org/cicadahead/control/ControlNode.java
@@ -1,7 +1,6 @@
 package org.cicadahead.control;
 
 import com.codahale.metrics.MetricRegistry;
-import java.io.IOException;
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.ExecutorService;
@@ -30,8 +29,9 @@
  */
 public final class ControlNode implements Node {
     private static final Logger LOG = Logger.getLogger("cicadahead.control");
-    private static final String HISTORY_FOLDER = "history";
     private static final String LOG_FOLDER = "log";
+    /** The interval at which the replica is checked and, if it has failed, restarted, in milliseconds. */
+    private static final long RESTART_MILLIS = 500;
 
     private final Components components;
     private volatile boolean stopped;
@@ -63,12 +63,9 @@
     static ControlNode start(ControlConfig config, MetricRegistry metrics, ReplicationConfig replication)
             throws NodeException {
         Objects.requireNonNull(metrics, "The metrics must not be null");
-        Components components = new Components(config);
+        Components components = new Components(config, metrics, replication);
         try {
-            return components.start(config, metrics, replication);
-        } catch (IOException e) {
-            components.close();
-            throw new NodeException("cannot use the data folder", e);
+            return components.start(config, metrics);
         } catch (ReplicationException e) {
             components.close();
             throw new NodeException("cannot start the replica", e);
@@ -105,14 +102,14 @@
      * @return the replica id
      */
     public String replicaId() {
-        return components.log.id().value();
+        return components.replica.current().log().id().value();
     }
 
     @Override
     public boolean isReady() {
         return !stopped
-                && components.log.failure() == null
-                && !components.log.leaderAddress().isEmpty();
+                && components.replica.isRunning()
+                && !components.replica.current().log().leaderAddress().isEmpty();
     }
 
     /**
@@ -124,7 +121,7 @@
     public void shutdown(long timeoutMillis) {
         stopped = true;
         components.timer.shutdownNow();
-        components.log.shutdown(timeoutMillis);
+        components.replica.shutdown(timeoutMillis);
         components.workers.shutdown();
         try {
             components.workers.awaitTermination(timeoutMillis, TimeUnit.MILLISECONDS);
@@ -139,39 +136,40 @@
     private static final class Components {
         private final ExecutorService workers;
         private final ScheduledExecutorService timer;
-        private HistoryStore histories;
-        private ReplicatedNode log;
+        private final MessageCatalog catalog =
+                ReplicatedNode.catalog(MessageCatalog.standard().with(List.of(FindAdmin.class, AdminAddress.class)));
+        private final ControlMetrics counters;
+        private final ControlReplica replica;
         private PeerServer server;
         private AdminServer admin;
 
-        Components(ControlConfig config) {
+        Components(ControlConfig config, MetricRegistry metrics, ReplicationConfig replication) {
             workers = Executors.newFixedThreadPool(config.workers(), DaemonThreads.named("control-worker"));
             timer = Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("control-timer"));
+            counters = new ControlMetrics(metrics);
+            replica = new ControlReplica(config, replication, catalog, counters, workers);
         }
 
-        ControlNode start(ControlConfig config, MetricRegistry metrics, ReplicationConfig replication)
-                throws IOException, ReplicationException, WireException, NodeException {
-            MessageCatalog catalog = ReplicatedNode.catalog(
-                    MessageCatalog.standard().with(List.of(FindAdmin.class, AdminAddress.class)));
-            histories = HistoryStore.open(config.dataFolder().resolve(HISTORY_FOLDER), HistoryStore.SEGMENT_BYTES);
-            ControlStateMachine machine = new ControlStateMachine(histories);
-            log = ReplicatedNode.start(replication, machine, catalog);
-            Leadership leadership = new Leadership(log, ReplicatedNode::monotonicMillis);
-            ControlMetrics counters = new ControlMetrics(metrics);
-            counters.registerGauges(log::counters);
-            ControlService service = new ControlService(log, machine, histories, leadership, counters, workers);
-            server = PeerServer.start(config.listen(), catalog, workers, handler(config, service));
-            ControlAdmin backend =
-                    new ControlAdmin(service, machine, leadership, new ReplicatedGroupMembership(log), catalog);
-            admin = AdminServer.start(config.adminListen(), config.adminToken(), backend, metrics);
+        ControlNode start(ControlConfig config, MetricRegistry metrics)
+                throws ReplicationException, WireException, NodeException {
+            replica.start();
+            counters.registerGauges(() -> replica.current().log().counters(), replica::out);
+            server = PeerServer.start(config.listen(), catalog, workers, handler(config));
+            admin = AdminServer.start(
+                    config.adminListen(),
+                    config.adminToken(),
+                    () -> replica.current().admin(),
+                    metrics);
             timer.scheduleWithFixedDelay(
-                    new Housekeeping(service, machine, leadership, System::currentTimeMillis),
+                    () -> replica.current().housekeeping().run(),
                     0,
                     Housekeeping.INTERVAL_MILLIS,
                     TimeUnit.MILLISECONDS);
+            timer.scheduleWithFixedDelay(
+                    replica::restartIfFailed, RESTART_MILLIS, RESTART_MILLIS, TimeUnit.MILLISECONDS);
             LOG.infof(
                     "control: Replica %s started on port %d, operators on port %d",
-                    log.id(), server.port(), admin.port());
+                    replica.current().log().id(), server.port(), admin.port());
             return new ControlNode(this);
         }
 
@@ -183,27 +181,19 @@
             if (server != null) {
                 server.close();
             }
-            if (log != null) {
-                log.close();
-            }
+            replica.close();
             workers.shutdownNow();
-            try {
-                if (histories != null) {
-                    histories.close();
-                }
-            } catch (IOException e) {
-                LOG.warnf(e, "control: Cannot close the histories");
-            }
         }
 
-        private PeerHandler handler(ControlConfig config, ControlService service) {
+        private PeerHandler handler(ControlConfig config) {
             return (Message request, Responder responder) -> {
+                ControlInstance instance = replica.current();
                 if (ReplicatedNode.handles(request)) {
-                    log.handle(request, responder);
+                    instance.log().handle(request, responder);
                 } else if (request instanceof FindAdmin) {
                     responder.reply(new AdminAddress(config.adminAddress()));
                 } else {
-                    service.handle(request, responder);
+                    instance.service().handle(request, responder);
                 }
             };
         }
--- a/control/src/main/java/org/cicadahead/control/GroupMembership.java
+++ b/control/src/main/java/org/cicadahead/control/GroupMembership.java
@@ -1,12 +1,16 @@
 package org.cicadahead.control;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.cicadahead.operator.MemberView;
 
 /** Lists and changes the members of the replica group. Implementations are thread-safe. */
 interface GroupMembership {
 
+    /** Returns why this replica does not take part in the group, or empty if it does. */
+    Optional<String> failure();
+
     /** Returns the members. */
     List<MemberView> list();
 
--- a/control/src/main/java/org/cicadahead/control/ReplicatedGroupMembership.java
+++ b/control/src/main/java/org/cicadahead/control/ReplicatedGroupMembership.java
@@ -1,6 +1,7 @@
 package org.cicadahead.control;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
@@ -26,6 +27,11 @@
         this.node = node;
     }
 
+    @Override
+    public Optional<String> failure() {
+        return Optional.ofNullable(node.failure()).map(Throwable::getMessage);
+    }
+
     @Override
     public List<MemberView> list() {
         try {
--- a/control/src/main/java/org/cicadahead/operator/AdminBackend.java
+++ b/control/src/main/java/org/cicadahead/operator/AdminBackend.java
@@ -14,6 +14,13 @@
 /** The operations of control that the admin API uses. Implementations are thread-safe. */
 public interface AdminBackend {
 
+    /**
+     * Returns why this replica is out, which means that it neither votes nor leads until it is restarted.
+     *
+     * @return the cause, or empty if it is running
+     */
+    Optional<String> failure();
+
     /**
      * Returns whether this replica is the leader and holds its lease.
      *
--- a/control/src/main/java/org/cicadahead/operator/AdminProblem.java
+++ b/control/src/main/java/org/cicadahead/operator/AdminProblem.java
@@ -25,6 +25,8 @@
     TOO_LARGE(413, "The body is too large"),
     /** No leader is known. */
     NO_LEADER(503, "Control has no leader"),
+    /** The storage of this replica has failed; another replica may serve the request. */
+    REPLICA_OUT(503, "The replica is out until its storage takes writes"),
     /** The change may or may not be committed; a resend with the same request id returns its result. */
     UNCONFIRMED(504, "The change could not be confirmed"),
     /** The members cannot be changed now. */
--- a/control/src/main/java/org/cicadahead/operator/AdminServer.java
+++ b/control/src/main/java/org/cicadahead/operator/AdminServer.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.cicadahead.node.NodeException;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
@@ -45,13 +46,13 @@
      *
      * @param address where to listen; port 0 takes any free port
      * @param token the bearer token of operators
-     * @param backend the operations that serve the requests
+     * @param backends returns the operations that serve a request; called once for each request
      * @param metrics the registry of the counters
      * @return the server
      * @throws NodeException if the address cannot be bound
      */
     public static AdminServer start(
-            InetSocketAddress address, String token, AdminBackend backend, MetricRegistry metrics)
+            InetSocketAddress address, String token, Supplier<? extends AdminBackend> backends, MetricRegistry metrics)
             throws NodeException {
         Objects.requireNonNull(token, "The token must not be null");
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, 1);
@@ -62,7 +63,7 @@
         connector.setHost(address.getHostString());
         connector.setPort(address.getPort());
         server.addConnector(connector);
-        server.setHandler(new AdminHandler(token, backend, metrics));
+        server.setHandler(new AdminHandler(token, backends, metrics));
         try {
             server.start();
         } catch (Exception e) {
@@ -92,14 +93,12 @@
     /** Authenticates, routes and answers requests. */
     private static final class AdminHandler extends Handler.Abstract {
         private final byte[] token;
-        private final AdminBackend backend;
-        private final AdminRouter router;
+        private final Supplier<? extends AdminBackend> backends;
         private final MetricRegistry metrics;
 
-        AdminHandler(String token, AdminBackend backend, MetricRegistry metrics) {
+        AdminHandler(String token, Supplier<? extends AdminBackend> backends, MetricRegistry metrics) {
             this.token = token.getBytes(StandardCharsets.UTF_8);
-            this.backend = backend;
-            this.router = new AdminRouter(backend);
+            this.backends = backends;
             this.metrics = metrics;
             for (AdminProblem problem : AdminProblem.values()) {
                 metrics.counter("admin.refusals." + problem.code());
@@ -134,8 +133,13 @@
             if (!path.startsWith(ROOT_PATH)) {
                 throw new AdminException(AdminProblem.NOT_FOUND, "there is no such path");
             }
+            AdminBackend backend = backends.get();
+            Optional<String> failure = backend.failure();
+            if (failure.isPresent()) {
+                throw new AdminException(AdminProblem.REPLICA_OUT, failure.get());
+            }
             if (!backend.isLeader()) {
-                return redirectToLeader(request);
+                return redirectToLeader(request, backend);
             }
             List<String> segments = Arrays.stream(
                             path.substring(ROOT_PATH.length()).split("/"))
@@ -149,16 +153,16 @@
                     request.getHeaders().get("Request-Id"),
                     body(request));
             try {
-                return router.serve(adminRequest);
+                return new AdminRouter(backend).serve(adminRequest);
             } catch (AdminException e) {
                 if (e.problem() == AdminProblem.NO_LEADER) {
-                    return redirectToLeader(request);
+                    return redirectToLeader(request, backend);
                 }
                 throw e;
             }
         }
 
-        private AdminReply redirectToLeader(Request request) throws AdminException {
+        private AdminReply redirectToLeader(Request request, AdminBackend backend) throws AdminException {
             Optional<String> leader = backend.leaderAdminAddress();
             if (leader.isEmpty()) {
                 throw new AdminException(AdminProblem.NO_LEADER, "there is no leader at the moment");
--- a/gateway/src/main/java/org/cicadahead/hub/HubNode.java
+++ b/gateway/src/main/java/org/cicadahead/hub/HubNode.java
@@ -26,7 +26,6 @@
 import org.cicadahead.fleet.SiteStored;
 import org.cicadahead.fleet.StoreMembers;
 import org.cicadahead.fleet.SubmitSite;
-import org.cicadahead.group.RestartableReplica;
 import org.cicadahead.node.DaemonThreads;
 import org.cicadahead.node.Node;
 import org.cicadahead.node.NodeException;
@@ -35,6 +34,7 @@
 import org.cicadahead.replication.ReplicatedNode;
 import org.cicadahead.replication.ReplicationConfig;
 import org.cicadahead.replication.ReplicationException;
+import org.cicadahead.replication.RestartableReplica;
 import org.cicadahead.site.SiteConfiguration;
 import org.cicadahead.watch.FleetWatch;
 import org.cicadahead.wire.Addresses;
@@ -90,7 +90,7 @@
                 ReplicationConfig.votersFor(config.faultsTolerated()),
                 config.quotaTolerance(),
                 ReplicatedNode::monotonicMillis);
-        this.replica = RestartableReplica.of("hub", this::startReplica);
+        this.replica = RestartableReplica.of("hub", config.dataFolder().resolve(LOG_FOLDER), this::startReplica);
     }
 
     /**
@@ -217,6 +217,7 @@
         timer.scheduleWithFixedDelay(
                 this::tick, FORWARD_INTERVAL_MILLIS, FORWARD_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         metrics.gauge("hub.term", () -> () -> replica.node().counters().term());
+        metrics.gauge("hub.replica_out", () -> replica::out);
         metrics.gauge("hub.commit_index", () -> () -> replica.node().counters().commitIndex());
         LOG.infof("hub: Replica %s started at %s", replica.node().id(), config.address());
     }
--- a/gateway/src/main/java/org/cicadahead/store/StoreNode.java
+++ b/gateway/src/main/java/org/cicadahead/store/StoreNode.java
@@ -15,7 +15,6 @@
 import org.cicadahead.fleet.FleetMessages;
 import org.cicadahead.fleet.FleetRole;
 import org.cicadahead.fleet.FleetUpdate;
-import org.cicadahead.group.RestartableReplica;
 import org.cicadahead.node.DaemonThreads;
 import org.cicadahead.node.Node;
 import org.cicadahead.node.NodeException;
@@ -23,6 +22,7 @@
 import org.cicadahead.replication.ReplicatedNode;
 import org.cicadahead.replication.ReplicationConfig;
 import org.cicadahead.replication.ReplicationException;
+import org.cicadahead.replication.RestartableReplica;
 import org.cicadahead.watch.FleetWatch;
 import org.cicadahead.wire.Addresses;
 import org.cicadahead.wire.PeerServer;
@@ -53,7 +53,7 @@
     private final MessageCatalog catalog = ReplicatedNode.catalog(FleetMessages.catalog(MessageCatalog.standard()));
     private final StoreService service = new StoreService();
     private final Set<String> storeAddresses = new TreeSet<>();
-    private final RestartableReplica replica = RestartableReplica.of("store", this::startReplica);
+    private final RestartableReplica replica;
     private Set<String> decommissioned = Set.of();
     private volatile TurnStateMachine machine = new TurnStateMachine();
     private PeerServer server;
@@ -62,6 +62,7 @@
 
     private StoreNode(StoreConfig config) {
         this.config = config;
+        this.replica = RestartableReplica.of("store", config.dataFolder().resolve(LOG_FOLDER), this::startReplica);
     }
 
     /**
@@ -122,6 +123,7 @@
                 timer,
                 this::applyUpdate);
         metrics.gauge("store.turns", () -> () -> machine.turns());
+        metrics.gauge("store.replica_out", () -> replica::out);
         metrics.gauge("store.budgets", () -> () -> machine.budgets());
         timer.scheduleWithFixedDelay(replica::restartIfFailed, RESTART_MILLIS, RESTART_MILLIS, TimeUnit.MILLISECONDS);
         LOG.infof("store: %s started at %s", config.name(), config.address());
--- a/raft/src/main/java/org/cicadahead/replication/ReplicatedLog.java
+++ b/raft/src/main/java/org/cicadahead/replication/ReplicatedLog.java
@@ -38,7 +38,7 @@
     /**
      * Returns the address of the leader, for use by daemons.
      *
-     * @return host and port, or an empty string if the leader is not known
+     * @return host and port, or an empty string if the leader is not known or this replica has stopped
      */
     String leaderAddress();
 }
--- a/raft/src/main/java/org/cicadahead/replication/ReplicatedNode.java
+++ b/raft/src/main/java/org/cicadahead/replication/ReplicatedNode.java
@@ -233,7 +233,7 @@
 
     @Override
     public String leaderAddress() {
-        ReplicaId leader = loop.status().leader();
+        ReplicaId leader = isRunning() ? loop.status().leader() : null;
         return folder.id().equals(leader) ? config.address() : transport.address(leader);
     }
 
--- a/raft/src/main/java/org/cicadahead/replication/ReplicationConfig.java
+++ b/raft/src/main/java/org/cicadahead/replication/ReplicationConfig.java
@@ -98,6 +98,27 @@
                 targetVoters);
     }
 
+    /**
+     * Returns a copy of these settings with another value of bootstrap.
+     *
+     * @param enabled whether the initial members create the group if it does not exist
+     * @return the settings
+     * @throws IllegalArgumentException if bootstrap is set and this replica is not among the initial members
+     */
+    public ReplicationConfig withBootstrap(boolean enabled) {
+        return new ReplicationConfig(
+                folder,
+                address,
+                members,
+                enabled,
+                timing,
+                segmentBytes,
+                snapshotEntries,
+                snapshotBytes,
+                keepEntries,
+                targetVoters);
+    }
+
     /**
      * Returns settings for a group within one region that maintains its number of voters automatically.
      *
--- a/gateway/src/main/java/org/cicadahead/group/RestartableReplica.java
+++ b/raft/src/main/java/org/cicadahead/replication/RestartableReplica.java
@@ -1,24 +1,29 @@
-package org.cicadahead.group;
+package org.cicadahead.replication;
 
 import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Objects;
-import org.cicadahead.replication.ReplicatedNode;
-import org.cicadahead.replication.ReplicationException;
 import org.jboss.logging.Logger;
 
 /**
  * A replica that is restarted after it has failed, for example because of a failed disk write. Thread-safe; starts and
  * stops are mutually exclusive.
  *
- * <p>The owner calls {@link #restartIfFailed()} periodically. Create one with {@link #of(String, Starter)}, then call
- * {@link #start(boolean)}.
+ * <p>The owner calls {@link #restartIfFailed()} periodically, which bounds the rate of attempts. Each attempt opens the
+ * files anew, so that the replica serves what it had synced to disk. Create one with
+ * {@link #of(String, Path, Starter)}, then call {@link #start(boolean)}.
  */
 public final class RestartableReplica implements Closeable {
-    private static final Logger LOG = Logger.getLogger("cicadahead.group");
+    private static final Logger LOG = Logger.getLogger("cicadahead.raft");
 
     private final String logPrefix;
+    private final Path folder;
     private final Starter starter;
     private volatile ReplicatedNode node;
+    private long failedSinceMillis = -1;
+    private String lastProblem;
     private boolean closed;
 
     /** Starts a replica with a new state machine and begins to serve with it. */
@@ -34,8 +39,9 @@
         ReplicatedNode start(boolean bootstrap) throws ReplicationException;
     }
 
-    private RestartableReplica(String logPrefix, Starter starter) {
+    private RestartableReplica(String logPrefix, Path folder, Starter starter) {
         this.logPrefix = Objects.requireNonNull(logPrefix, "The log prefix must not be null");
+        this.folder = Objects.requireNonNull(folder, "The folder must not be null");
         this.starter = Objects.requireNonNull(starter, "The starter must not be null");
     }
 
@@ -43,11 +49,12 @@
      * Returns a replica that has not been started.
      *
      * @param logPrefix the prefix of its log lines
+     * @param folder the data folder, whose free space the log lines show
      * @param starter starts the replica
      * @return the replica
      */
-    public static RestartableReplica of(String logPrefix, Starter starter) {
-        return new RestartableReplica(logPrefix, starter);
+    public static RestartableReplica of(String logPrefix, Path folder, Starter starter) {
+        return new RestartableReplica(logPrefix, folder, starter);
     }
 
     /**
@@ -79,19 +86,39 @@
         return current != null && current.failure() == null;
     }
 
+    /**
+     * Returns whether the replica has failed and has not been restarted since, for use as a gauge.
+     *
+     * @return 1 if it has failed, 0 if it is running or was never started
+     */
+    public int out() {
+        ReplicatedNode current = node;
+        return current != null && current.failure() != null ? 1 : 0;
+    }
+
     /** Restarts the replica if it has failed, with the data that it had synced to disk. */
     public synchronized void restartIfFailed() {
         if (closed || node == null || node.failure() == null) {
             return;
         }
+        long now = ReplicatedNode.monotonicMillis();
+        if (failedSinceMillis < 0) {
+            failedSinceMillis = now;
+            lastProblem = node.failure().getMessage();
+        }
         LOG.warnf(
-                "%s: The replica has stopped and is being restarted: %s",
-                logPrefix, node.failure().getMessage());
-        node.close();
+                "%s: The replica has been out for %d ms and is being restarted, %s bytes free: %s",
+                logPrefix, now - failedSinceMillis, freeBytes(), lastProblem);
         try {
+            node.close();
             node = starter.start(false);
-        } catch (ReplicationException e) {
-            LOG.warnf("%s: Could not restart the replica: %s", logPrefix, e.getMessage());
+            LOG.infof(
+                    "%s: Replica %s serves again after %d ms",
+                    logPrefix, node.id(), ReplicatedNode.monotonicMillis() - failedSinceMillis);
+            failedSinceMillis = -1;
+        } catch (ReplicationException | RuntimeException e) {
+            lastProblem = String.valueOf(e.getMessage());
+            LOG.warnf("%s: Could not restart the replica: %s", logPrefix, lastProblem);
         }
     }
 
@@ -114,4 +141,12 @@
             node.close();
         }
     }
+
+    private String freeBytes() {
+        try {
+            return String.valueOf(Files.getFileStore(folder).getUsableSpace());
+        } catch (IOException e) {
+            return "unknown";
+        }
+    }
 }
--- a/gateway/src/test/java/org/cicadahead/group/RestartableReplicaTest.java
+++ b/raft/src/test/java/org/cicadahead/replication/RestartableReplicaTest.java
@@ -1,10 +1,11 @@
-package org.cicadahead.group;
+package org.cicadahead.replication;
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -15,17 +16,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
-import org.cicadahead.fleet.DecommissionState;
-import org.cicadahead.fleet.DecommissionStore;
-import org.cicadahead.fleet.FleetMessages;
 import org.cicadahead.protocol.Command;
 import org.cicadahead.protocol.Message;
-import org.cicadahead.protocol.MessageCatalog;
-import org.cicadahead.replication.ReplicatedNode;
-import org.cicadahead.replication.ReplicationConfig;
-import org.cicadahead.replication.ReplicationException;
-import org.cicadahead.replication.StateMachine;
-import org.cicadahead.replication.StateSnapshot;
+import org.cicadahead.raft.ReplicaId;
+import org.cicadahead.storage.StorageException;
 import org.cicadahead.wire.TestPorts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -36,7 +30,7 @@
  */
 class RestartableReplicaTest {
     private static final long LIMIT_SECONDS = 20;
-    private static final DecommissionStore COMMAND = new DecommissionStore("store", "127.0.0.1:1");
+    private static final RegisterMachine.ReadValue COMMAND = new RegisterMachine.ReadValue();
 
     @TempDir
     Path folder;
@@ -55,7 +49,7 @@
                 throw new IOException("no space left");
             }
             applied.add(command);
-            return new DecommissionState(DecommissionState.Phase.TOO_FEW);
+            return new RegisterMachine.Value(0, 0);
         }
 
         @Override
@@ -69,13 +63,14 @@
 
     private void startReplica() throws Exception {
         String address = "127.0.0.1:" + TestPorts.free();
-        MessageCatalog catalog = ReplicatedNode.catalog(FleetMessages.catalog(MessageCatalog.standard()));
-        replica = RestartableReplica.of("test", bootstrap -> {
+        replica = RestartableReplica.of("test", folder, bootstrap -> {
             if (starts.incrementAndGet() == 2 && diskFull.get()) {
                 throw new ReplicationException(false, "no space left", null);
             }
             return ReplicatedNode.start(
-                    ReplicationConfig.of(folder, address, List.of(address), bootstrap), new Machine(), catalog);
+                    ReplicationConfig.of(folder, address, List.of(address), bootstrap),
+                    new Machine(),
+                    TestGroup.CATALOG);
         });
         replica.start(true);
         await(() -> replica.node().holdsLease(ReplicatedNode.monotonicMillis()));
@@ -138,4 +133,51 @@
         replica.restartIfFailed();
         assertThat(starts.get()).isEqualTo(1);
     }
+
+    /** A replica that could not write must serve again as the same voter, with all that it had acknowledged. */
+    @Test
+    void servesAgainAsTheSameVoterOnceItsStorageTakesWrites() throws Exception {
+        startReplica();
+        ReplicaId id = replica.node().id();
+        Path blocker = Files.createDirectories(folder.resolve("hard-state.tmp").resolve("blocked"));
+        propose();
+        propose();
+        await(() -> !replica.isRunning());
+        assertThat(replica.out()).isEqualTo(1);
+        assertThat(replica.node().leaderAddress()).isEmpty();
+        ExecutionException refused = assertThrows(ExecutionException.class, this::propose);
+        assertThat(((ReplicationException) refused.getCause()).mayBeCommitted()).isFalse();
+        replica.restartIfFailed();
+        assertThat(replica.out()).isEqualTo(1);
+        Files.delete(blocker);
+        Files.delete(blocker.getParent());
+        applied.clear();
+        replica.restartIfFailed();
+        assertThat(replica.out()).isEqualTo(0);
+        assertThat(replica.node().id()).isEqualTo(id);
+        await(() -> replica.node().holdsLease(ReplicatedNode.monotonicMillis()));
+        propose();
+        assertThat(applied).containsExactly(COMMAND, COMMAND, COMMAND);
+        List<MemberStatus> members = replica.node().members().get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        assertThat(members.stream().filter(MemberStatus::voter).map(MemberStatus::id))
+                .containsExactly(id);
+    }
+
+    /** A full disk must be reported as full, and must not end the replica for good. */
+    @Test
+    void servesAgainAfterAFullDisk() throws Exception {
+        startReplica();
+        Files.createSymbolicLink(folder.resolve("hard-state.tmp"), Path.of("/dev/full"));
+        propose();
+        await(() -> !replica.isRunning());
+        assertThat(((StorageException) replica.node().failure()).kind()).isEqualTo(StorageException.Kind.FULL);
+        replica.restartIfFailed();
+        assertThat(replica.isRunning()).isTrue();
+        await(() -> replica.node().holdsLease(ReplicatedNode.monotonicMillis()));
+        propose();
+    }
+
+    private void propose() throws Exception {
+        replica.node().propose(COMMAND).get(LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
 }
