Confirm the recovered log by the writer, so that a process starts on a full disk

Cause: writing the recovered tail and hard state while the files were opened made the first start of a process fail on a full disk, so that the process would end. Found by reading, before it was merged.

Change: LogWriter calls LogStore.confirmRecovered() before its first task, hence before any vote or acknowledgement is sent. A restart within the process first writes and syncs a file of 64 KiB; while that fails, the replica stays out and its files are not opened.

RestartableReplicaTest. staysOutAsLongAsItsStorageTakesNoWrites is new. The start of a process on a full disk was not run.

--- a/raft/src/main/java/org/cicadahead/replication/LogWriter.java
+++ b/raft/src/main/java/org/cicadahead/replication/LogWriter.java
@@ -98,6 +98,9 @@
     }
 
     private void process(List<Task> tasks) throws StorageException {
+        if (!tasks.isEmpty()) {
+            log.confirmRecovered();
+        }
         List<Output> outputs = new ArrayList<>();
         for (Task task : tasks) {
             if (task.output == null && task.compactTo == STOP) {
--- a/raft/src/main/java/org/cicadahead/replication/RestartableReplica.java
+++ b/raft/src/main/java/org/cicadahead/replication/RestartableReplica.java
@@ -2,8 +2,11 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.Objects;
 import org.jboss.logging.Logger;
 
@@ -18,6 +21,11 @@
 public final class RestartableReplica implements Closeable {
     private static final Logger LOG = Logger.getLogger("cicadahead.raft");
 
+    /** Removed at the next start if the process ends before it is deleted, like all files with this ending. */
+    private static final String PROBE_FILE = "probe.tmp";
+
+    private static final int PROBE_BYTES = 64 * 1024;
+
     private final String logPrefix;
     private final Path folder;
     private final Starter starter;
@@ -111,12 +119,13 @@
                 logPrefix, now - failedSinceMillis, freeBytes(), lastProblem);
         try {
             node.close();
+            probe();
             node = starter.start(false);
             LOG.infof(
                     "%s: Replica %s serves again after %d ms",
                     logPrefix, node.id(), ReplicatedNode.monotonicMillis() - failedSinceMillis);
             failedSinceMillis = -1;
-        } catch (ReplicationException | RuntimeException e) {
+        } catch (IOException | ReplicationException | RuntimeException e) {
             lastProblem = String.valueOf(e.getMessage());
             LOG.warnf("%s: Could not restart the replica: %s", logPrefix, lastProblem);
         }
@@ -142,6 +151,22 @@
         }
     }
 
+    /** Checks that the storage takes writes, so that a replica on a full disk stays out. */
+    private void probe() throws IOException {
+        Files.createDirectories(folder);
+        Path file = folder.resolve(PROBE_FILE);
+        try (FileChannel channel = FileChannel.open(
+                file, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+            ByteBuffer bytes = ByteBuffer.allocate(PROBE_BYTES);
+            while (bytes.hasRemaining()) {
+                channel.write(bytes);
+            }
+            channel.force(true);
+        } finally {
+            Files.deleteIfExists(file);
+        }
+    }
+
     private String freeBytes() {
         try {
             return String.valueOf(Files.getFileStore(folder).getUsableSpace());
--- a/raft/src/main/java/org/cicadahead/storage/LogStore.java
+++ b/raft/src/main/java/org/cicadahead/storage/LogStore.java
@@ -44,6 +44,8 @@
     private boolean unsynced;
     private long syncedIndex;
     private long savedSyncedIndex;
+    /** The first recovered entry that may be in memory only, or 0 after {@link #confirmRecovered()}. */
+    private long unconfirmedIndex;
 
     /**
      * The hard state as stored in its file, together with the first index of the last segment and the index of the last
@@ -109,6 +111,24 @@
         return entries;
     }
 
+    /**
+     * Writes and syncs the end of the recovered log and the hard state again. After a failed sync, the operating system
+     * may hold them only in memory and report later syncs as successful. Must be called before the first other write
+     * and before any message that depends on the recovered state; later calls have no effect.
+     *
+     * @throws StorageException if they cannot be written
+     */
+    public void confirmRecovered() throws StorageException {
+        if (unconfirmedIndex > 0) {
+            runFileOperation("write the recovered log again", () -> {
+                segments.getLast().rewriteFrom(unconfirmedIndex);
+                segments.getLast().sync();
+                saveState(hardState, segments.getLast().firstIndex());
+            });
+            unconfirmedIndex = 0;
+        }
+    }
+
     /**
      * Persists the hard state.
      *
@@ -335,13 +355,12 @@
         if (last < stored.syncedIndex() && head.index() < stored.syncedIndex()) {
             throw corrupt("the log ends at entry " + last + " but entry " + stored.syncedIndex() + " had been synced");
         }
-        // Consensus treats all recovered entries and the hard state as durable, but a killed process may have left
-        // records unsynced, and after a failed sync the operating system may hold data only in memory and report later
-        // syncs as successful. Both are therefore written again.
-        segments.getLast().rewriteFrom(stored.syncedIndex() + 1);
+        // A killed process may have left records that were written but not synced. Sync them now, because consensus
+        // treats all recovered entries as durable.
         segments.getLast().sync();
         syncedIndex = last;
-        saveState(hardState, stored.lastSegment());
+        savedSyncedIndex = stored.syncedIndex();
+        unconfirmedIndex = stored.syncedIndex() + 1;
         reconcile(head, entries);
     }
 
--- a/raft/src/test/java/org/cicadahead/replication/RestartableReplicaTest.java
+++ b/raft/src/test/java/org/cicadahead/replication/RestartableReplicaTest.java
@@ -180,4 +180,21 @@
     private void propose() throws Exception {
         replica.node().propose(COMMAND).get(LIMIT_SECONDS, TimeUnit.SECONDS);
     }
+
+    /** A replica must stay out, without opening its files, as long as its storage takes no writes. */
+    @Test
+    void staysOutAsLongAsItsStorageTakesNoWrites() throws Exception {
+        startReplica();
+        failReplica();
+        diskFull.set(false);
+        Path probe = folder.resolve("probe.tmp");
+        Path blocker = Files.createDirectories(probe.resolve("blocked"));
+        replica.restartIfFailed();
+        assertThat(replica.out()).isEqualTo(1);
+        assertThat(starts.get()).isEqualTo(1);
+        Files.delete(blocker);
+        Files.delete(probe);
+        replica.restartIfFailed();
+        assertThat(replica.out()).isEqualTo(0);
+    }
 }
