--- a/raft/src/main/java/org/cicadahead/storage/LogStore.java
+++ b/raft/src/main/java/org/cicadahead/storage/LogStore.java
@@ -44,6 +44,8 @@
     private boolean unsynced;
     private long syncedIndex;
     private long savedSyncedIndex;
+    /** The first recovered entry that may be in memory only, or 0 after {@link #confirmRecovered()}. */
+    private long unconfirmedIndex;
 
     /**
      * The hard state as stored in its file, together with the first index of the last segment and the index of the last
@@ -69,8 +71,13 @@
     /** Opens the log files of an existing replica and recovers their entries. */
     static LogStore recover(Path folder, long segmentBytes, SnapshotHead head) throws StorageException {
         LogStore store = new LogStore(folder, segmentBytes);
-        store.runFileOperation("recover the log", () -> store.recover(head));
-        return store;
+        try {
+            store.runFileOperation("recover the log", () -> store.recover(head));
+            return store;
+        } catch (StorageException | RuntimeException e) {
+            store.close();
+            throw e;
+        }
     }
 
     /** Returns whether the folder holds log entries or a term, which means that it belonged to a replica. */
@@ -104,6 +111,24 @@
         return entries;
     }
 
+    /**
+     * Writes and syncs the end of the recovered log and the hard state again. After a failed sync, the operating system
+     * may hold them only in memory and report later syncs as successful. Must be called before the first other write
+     * and before any message that depends on the recovered state; later calls have no effect.
+     *
+     * @throws StorageException if they cannot be written
+     */
+    public void confirmRecovered() throws StorageException {
+        if (unconfirmedIndex > 0) {
+            runFileOperation("write the recovered log again", () -> {
+                segments.getLast().rewriteFrom(unconfirmedIndex);
+                segments.getLast().sync();
+                saveState(hardState, segments.getLast().firstIndex());
+            });
+            unconfirmedIndex = 0;
+        }
+    }
+
     /**
      * Persists the hard state.
      *
@@ -335,6 +360,7 @@
         segments.getLast().sync();
         syncedIndex = last;
         savedSyncedIndex = stored.syncedIndex();
+        unconfirmedIndex = stored.syncedIndex() + 1;
         reconcile(head, entries);
     }
 
