Restart no replica while threads of the failed one use its files

Found by the review of the restart of control replicas. close() waits 5 s for each thread and goes on; a writer that was blocked longer by its storage could then replace the hard state of the next start, that is, an older term and vote. And a shutdown during an outage could be followed by a restart, which nobody shut down.

Change: a restart waits until the threads of the failed replica have ended, and none begins after a shutdown. An unchecked failure of a start releases the lock of the folder too (by reading; no test).

Evidence: RestartableReplicaTest. isNotRestartedWhileThreadsOfTheFailedReplicaAreBlocked and isNotRestartedAfterAShutdown failed before (2 starts instead of 1) and pass now, with the other tests of the package.

--- a/raft/src/main/java/org/cicadahead/replication/ReplicatedNode.java
+++ b/raft/src/main/java/org/cicadahead/replication/ReplicatedNode.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import org.cicadahead.node.DaemonThreads;
 import org.cicadahead.protocol.Command;
 import org.cicadahead.protocol.Message;
 import org.cicadahead.protocol.MessageCatalog;
@@ -140,7 +141,7 @@
             node.applier.restoreLatest();
             node.startThreads();
             return node;
-        } catch (StorageException e) {
+        } catch (StorageException | RuntimeException e) {
             if (folder != null) {
                 folder.close();
             }
@@ -370,6 +371,11 @@
         folder.close();
     }
 
+    /** Returns whether the replica is closed and its threads have ended, so that nothing of it uses its files. */
+    boolean isTerminated() {
+        return closed && threads.stream().noneMatch(Thread::isAlive) && snapshotter.isTerminated();
+    }
+
     /**
      * Returns the failure that stopped the replica.
      *
@@ -397,12 +403,6 @@
                 status.elections());
     }
 
-    private static Thread daemonThread(Runnable body, String name) {
-        Thread thread = new Thread(body, name);
-        thread.setDaemon(true);
-        return thread;
-    }
-
     private static CompletableFuture<Message> rejected(String reason) {
         return CompletableFuture.failedFuture(new ReplicationException(false, reason, null));
     }
@@ -412,9 +412,9 @@
     }
 
     private void startThreads() {
-        threads.add(daemonThread(writer, "raft-writer"));
-        threads.add(daemonThread(applier, "raft-apply"));
-        threads.add(daemonThread(loop, "raft-consensus"));
+        threads.add(DaemonThreads.named("raft-writer").newThread(writer));
+        threads.add(DaemonThreads.named("raft-apply").newThread(applier));
+        threads.add(DaemonThreads.named("raft-consensus").newThread(loop));
         threads.forEach(Thread::start);
     }
 
--- a/raft/src/main/java/org/cicadahead/replication/RestartableReplica.java
+++ b/raft/src/main/java/org/cicadahead/replication/RestartableReplica.java
@@ -32,7 +32,7 @@
     private volatile ReplicatedNode node;
     private long failedSinceMillis = -1;
     private String lastProblem;
-    private boolean closed;
+    private volatile boolean closed;
 
     /** Starts a replica with a new state machine and begins to serve with it. */
     public interface Starter {
@@ -119,6 +119,9 @@
                 logPrefix, now - failedSinceMillis, freeBytes(), lastProblem);
         try {
             node.close();
+            if (!node.isTerminated()) {
+                throw new ReplicationException(false, "threads of the failed replica still use its files", null);
+            }
             probe();
             node = starter.start(false);
             LOG.infof(
@@ -132,12 +135,16 @@
     }
 
     /**
-     * Transfers leadership and stops.
+     * Transfers leadership and stops. Waits for a restart that is in progress; no further one begins.
      *
      * @param timeoutMillis the maximum time to wait for a new leader, in milliseconds
      */
     public void shutdown(long timeoutMillis) {
-        ReplicatedNode current = node;
+        closed = true;
+        ReplicatedNode current;
+        synchronized (this) {
+            current = node;
+        }
         if (current != null) {
             current.shutdown(timeoutMillis);
         }
--- a/raft/src/main/java/org/cicadahead/replication/Snapshotter.java
+++ b/raft/src/main/java/org/cicadahead/replication/Snapshotter.java
@@ -90,6 +90,10 @@
         executor.awaitTermination(waitMillis, TimeUnit.MILLISECONDS);
     }
 
+    boolean isTerminated() {
+        return executor.isTerminated();
+    }
+
     private boolean execute(Runnable task) {
         try {
             executor.execute(task);
--- a/raft/src/test/java/org/cicadahead/replication/RestartableReplicaTest.java
+++ b/raft/src/test/java/org/cicadahead/replication/RestartableReplicaTest.java
@@ -36,6 +36,7 @@
     Path folder;
 
     private final AtomicBoolean diskFull = new AtomicBoolean();
+    private final AtomicBoolean blocked = new AtomicBoolean();
     private final AtomicInteger starts = new AtomicInteger();
     private final BlockingQueue<Command> applied = new LinkedBlockingQueue<>();
     private RestartableReplica replica;
@@ -49,6 +50,7 @@
                 throw new IOException("no space left");
             }
             applied.add(command);
+            await(() -> !blocked.get());
             return new RegisterMachine.Value(0, 0);
         }
 
@@ -181,6 +183,40 @@
         replica.node().propose(COMMAND).get(LIMIT_SECONDS, TimeUnit.SECONDS);
     }
 
+    /** A thread of the failed replica that is still blocked could write to the files of the next one. */
+    @Test
+    void isNotRestartedWhileThreadsOfTheFailedReplicaAreBlocked() throws Exception {
+        startReplica();
+        blocked.set(true);
+        replica.node().propose(COMMAND);
+        await(() -> !applied.isEmpty());
+        Path blocker = Files.createDirectories(folder.resolve("hard-state.tmp").resolve("blocked"));
+        replica.node().propose(COMMAND);
+        await(() -> !replica.isRunning());
+        Files.delete(blocker);
+        Files.delete(blocker.getParent());
+        replica.restartIfFailed();
+        assertThat(starts.get()).isEqualTo(1);
+        assertThat(replica.out()).isEqualTo(1);
+        blocked.set(false);
+        await(() -> {
+            replica.restartIfFailed();
+            return replica.out() == 0;
+        });
+        assertThat(starts.get()).isEqualTo(2);
+    }
+
+    /** A replica that is being shut down must not be started again behind it. */
+    @Test
+    void isNotRestartedAfterAShutdown() throws Exception {
+        startReplica();
+        failReplica();
+        diskFull.set(false);
+        replica.shutdown(0);
+        replica.restartIfFailed();
+        assertThat(starts.get()).isEqualTo(1);
+    }
+
     /** A replica must stay out, without opening its files, as long as its storage takes no writes. */
     @Test
     void staysOutAsLongAsItsStorageTakesNoWrites() throws Exception {
